--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# The two commands of the project are `make demo` and `make test`.
+
+GO ?= go
+TOOLS := bin/tools
+LINT_VERSION := v2.12.2
+FUMPT_VERSION := v0.9.2
+
+.PHONY: demo build test lint race unit generate
+
+demo: build
+	bin/ferrylab demo
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test: lint unit race
+
+unit:
+	$(GO) vet ./...
+	.ci/unit
+
+race:
+	$(GO) test -race -count=1 ./limit ./queue ./route ./peer ./proxy ./health ./host
+
+lint: $(TOOLS)/golangci-lint
+	$(TOOLS)/golangci-lint run
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(CURDIR)/$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+# Generated code is committed; this is needed only after a change of the
+# protocol or of the injector.
+generate:
+	GOBIN=$(CURDIR)/$(TOOLS) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go
+	GOBIN=$(CURDIR)/$(TOOLS) $(GO) install github.com/bufbuild/buf/cmd/buf@v1.71.0
+	PATH=$(CURDIR)/$(TOOLS):$$PATH $(TOOLS)/buf generate
+	$(GO) run github.com/google/wire/cmd/wire gen ./cmd/monsoonferry
--- /dev/null
+++ b/auth/filter.go
@@ -0,0 +1,58 @@
+package auth
+
+import (
+	"context"
+	"net/http"
+
+	"monsoonferry.org/ferry"
+)
+
+// Filter admits requests whose key belongs to a client account, and requests
+// on open routes. Its zero value is ready to use.
+type Filter struct{}
+
+// Filter implements ferry.Filter.
+func (Filter) Filter(ctx context.Context, exchange *ferry.Exchange, next ferry.Handler) error {
+	request := exchange.Request
+	if exchange.Route.Open {
+		scrubOpen(exchange)
+		return next.Handle(ctx, exchange)
+	}
+	var key string
+	var err error
+	if key, err = FromRequest(request); err != nil {
+		return err
+	}
+	exchange.Key = ferry.HashKey(key)
+	exchange.Account = exchange.Snapshot.Account(exchange.Key)
+	if exchange.Account == nil {
+		return UnknownKey()
+	}
+	if inPath := Scrub(request.Header, request.URL, key); inPath {
+		return &ferry.Refusal{
+			Status: http.StatusBadRequest, Reason: ferry.ReasonKeyInPath, Outcome: ferry.OutcomeNotRun,
+			Detail: "the path contains the key",
+		}
+	}
+	return next.Handle(ctx, exchange)
+}
+
+// scrubOpen removes known keys from a request that needs none.
+func scrubOpen(exchange *ferry.Exchange) {
+	request := exchange.Request
+	keys := presented(request.Header)
+	Scrub(request.Header, request.URL, "")
+	for _, key := range keys {
+		if exchange.Snapshot.Account(ferry.HashKey(key)) != nil {
+			Scrub(request.Header, request.URL, key)
+		}
+	}
+}
+
+// UnknownKey returns the refusal of a key that is not or no longer in force.
+func UnknownKey() *ferry.Refusal {
+	return &ferry.Refusal{
+		Status: http.StatusUnauthorized, Reason: ferry.ReasonUnknownKey, Outcome: ferry.OutcomeNotRun,
+		Detail: "the key is not known or has been withdrawn",
+	}
+}
--- /dev/null
+++ b/cert/cert.go
@@ -0,0 +1,161 @@
+// Package cert loads TLS credentials from PEM files and follows their changes.
+//
+// # Concept
+//
+// Certificates are replaced while the process runs. A Source reads its files
+// again when they change, at most once a second. A pair of files that cannot
+// be read leaves the last good certificate in use.
+//
+// VMs know each other by IP address, so peers are verified by the fleet's own
+// authority and not by host name.
+//
+// # Usage
+//
+//	source, err := cert.Load(files)
+//	callers := source.CallerConfig()
+//	dial, serve := source.PeerConfigs()
+package cert
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"monsoonferry.org/ferry/conf"
+)
+
+// checkInterval is the least time between two looks at the files.
+const checkInterval = time.Second
+
+// Source gives the current certificate of a set of files. It is safe for
+// concurrent use.
+type Source struct {
+	files conf.TLSFiles
+
+	mu        sync.Mutex
+	pair      *tls.Certificate
+	authority *x509.CertPool
+	checked   time.Time
+	modified  time.Time
+}
+
+// Load reads the files. It returns nil without error when the files are not
+// set.
+func Load(files conf.TLSFiles) (*Source, error) {
+	if files == (conf.TLSFiles{}) {
+		return nil, nil
+	}
+	source := &Source{files: files}
+	if err := source.read(); err != nil {
+		return nil, err
+	}
+	return source, nil
+}
+
+// read loads certificate, key and authority.
+func (s *Source) read() (err error) {
+	var pair tls.Certificate
+	if pair, err = tls.LoadX509KeyPair(s.files.Certificate, s.files.Key); err != nil {
+		return trace.Wrap(err, "load the certificate %s", s.files.Certificate)
+	}
+	authority := x509.NewCertPool()
+	if s.files.Authority != "" {
+		var text []byte
+		if text, err = os.ReadFile(s.files.Authority); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		if !authority.AppendCertsFromPEM(text) {
+			return trace.BadParameter("%s holds no PEM certificate", s.files.Authority)
+		}
+	}
+	s.pair, s.authority, s.modified = &pair, authority, s.newest()
+	return nil
+}
+
+// newest returns the time of the last change of any file.
+func (s *Source) newest() (newest time.Time) {
+	for _, name := range []string{s.files.Certificate, s.files.Key, s.files.Authority} {
+		if info, err := os.Stat(name); err == nil && info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest
+}
+
+// current returns the credentials in use, after a look at the files.
+func (s *Source) current() (*tls.Certificate, *x509.CertPool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.checked) >= checkInterval {
+		s.checked = now
+		if !s.newest().Equal(s.modified) {
+			// A pair that is half replaced is read again at the next check.
+			_ = s.read()
+		}
+	}
+	return s.pair, s.authority
+}
+
+// CallerConfig returns the configuration of the listener for callers, or nil
+// when s is nil.
+func (s *Source) CallerConfig() *tls.Config {
+	if s == nil {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{"h2", "http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			pair, _ := s.current()
+			return pair, nil
+		},
+	}
+}
+
+// PeerConfigs returns the configurations for sessions between VMs, or nil when
+// s is nil. Both sides show a certificate of the authority.
+func (s *Source) PeerConfigs() (dial, serve *tls.Config) {
+	if s == nil {
+		return nil, nil
+	}
+	dial = &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// The chain is verified in VerifyConnection, without a host name.
+		InsecureSkipVerify: true, //nolint:gosec // See VerifyConnection.
+		VerifyConnection:   s.verify,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			pair, _ := s.current()
+			return pair, nil
+		},
+	}
+	serve = &tls.Config{
+		MinVersion:       tls.VersionTLS13,
+		ClientAuth:       tls.RequireAnyClientCert,
+		VerifyConnection: s.verify,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			pair, _ := s.current()
+			return pair, nil
+		},
+	}
+	return dial, serve
+}
+
+// verify checks that the other side's certificate comes from the authority.
+func (s *Source) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return trace.AccessDenied("the peer shows no certificate")
+	}
+	_, authority := s.current()
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: authority, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/cmd/ferrylab/main.go
@@ -0,0 +1,201 @@
+// Command ferrylab runs stand-ins for the systems around a fleet, sends load
+// and carries out the demonstration.
+//
+// Usage:
+//
+//	ferrylab platform --listen ADDRESS
+//	ferrylab target --listen ADDRESS --name NAME
+//	ferrylab load --seed-address ADDRESS --key KEY --path PATH
+//	ferrylab demo --server FILE
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"monsoonferry.org/ferry/demo"
+	"monsoonferry.org/ferry/fake"
+	"monsoonferry.org/ferry/load"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	command := &cli.Command{
+		Name:                  "ferrylab",
+		Usage:                 "stand-ins, load and the demonstration of monsoonferry",
+		EnableShellCompletion: true,
+		Commands:              []*cli.Command{platformCommand(), targetCommand(), loadCommand(), demoCommand()},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "ferrylab:", trace.UserMessage(err))
+		cancel()
+		os.Exit(1)
+	}
+}
+
+// listenFlag names the address on which a stand-in listens.
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on", Required: true}
+}
+
+// headerTime bounds the time to receive the head of a request.
+const headerTime = 5 * time.Second
+
+// serve runs a handler until ctx ends.
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: headerTime}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return trace.ConvertSystemError(err)
+	}
+	return nil
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "stand in for the platform's service",
+		Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return serve(ctx, command.String("listen"), fake.NewPlatform())
+		},
+	}
+}
+
+func targetCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "target",
+		Usage: "stand in for a target",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "name", Usage: "`NAME` of the target", Required: true},
+			&cli.IntFlag{Name: "slots", Usage: "requests that run at once", Value: 4},
+			&cli.DurationFlag{Name: "service-time", Usage: "mean time of a request", Value: 10 * time.Millisecond},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the random numbers", Value: 1},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			target := fake.NewTarget(command.String("name"), command.Int("slots"), command.Duration("service-time"), command.Uint64("seed"))
+			return serve(ctx, command.String("listen"), target)
+		},
+	}
+}
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "send requests of one client account and print what came back",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "seed-address", Usage: "`ADDRESS` of a VM that answers entry questions", Required: true},
+			&cli.StringFlag{Name: "account", Usage: "`ID` of the client account", Value: "caller"},
+			&cli.StringFlag{Name: "key", Usage: "`KEY` of the client account", Sources: cli.EnvVars("FERRY_KEY")},
+			&cli.StringFlag{Name: "method", Usage: "HTTP `METHOD`", Value: http.MethodGet},
+			&cli.StringFlag{Name: "path", Usage: "`PATH` of the requests", Value: "/"},
+			&cli.FloatFlag{Name: "rate", Usage: "requests per second", Value: 50},
+			&cli.IntFlag{Name: "body", Usage: "bytes of each request body"},
+			&cli.DurationFlag{Name: "duration", Usage: "length of the run", Value: 10 * time.Second},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the random numbers", Value: 1},
+		},
+		Action: runLoad,
+	}
+}
+
+// summary is the printed result of a load run.
+type summary struct {
+	Sent     int
+	Statuses map[int]int
+	Reasons  map[string]int
+	P50Ms    float64
+	P99Ms    float64
+}
+
+func runLoad(ctx context.Context, command *cli.Command) error {
+	plan := load.Plan{
+		Accounts: []load.Account{{
+			ID: command.String("account"), Key: command.String("key"), Rate: command.Float("rate"),
+			Method: command.String("method"), Path: command.String("path"), BodyBytes: command.Int("body"),
+		}},
+		Duration: command.Duration("duration"), Seed: command.Uint64("seed"),
+	}
+	for _, text := range command.StringSlice("seed-address") {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return trace.BadParameter("%q is not an IP address and port", text)
+		}
+		plan.Seeds = append(plan.Seeds, address)
+	}
+	report := load.Run(ctx, plan)
+	printed := summary{
+		Sent: len(report.Results), Statuses: map[int]int{}, Reasons: map[string]int{},
+		P50Ms: float64(report.Latency.ValueAtQuantile(50)) / 1000,
+		P99Ms: float64(report.Latency.ValueAtQuantile(99)) / 1000,
+	}
+	for _, result := range report.Results {
+		printed.Statuses[result.Status]++
+		if result.Reason != "" {
+			printed.Reasons[result.Reason]++
+		}
+	}
+	return writeJSON(os.Stdout, printed)
+}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run a fleet with failures and print the measures",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "server", Usage: "`FILE` of the monsoonferry program", Value: "bin/monsoonferry"},
+			&cli.StringFlag{Name: "output", Usage: "`FILE` for the result", Value: "demo.json"},
+			&cli.StringFlag{Name: "directory", Usage: "`DIRECTORY` for settings and logs; a temporary one by default"},
+		},
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, command *cli.Command) (err error) {
+	directory := command.String("directory")
+	if directory == "" {
+		if directory, err = os.MkdirTemp("", "ferrylab-"); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		defer func() { _ = os.RemoveAll(directory) }()
+	}
+	var lab string
+	if lab, err = os.Executable(); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	result, err := demo.Run(ctx, demo.Config{
+		Server: command.String("server"), Lab: lab, Directory: directory, Progress: os.Stderr,
+	})
+	if err != nil {
+		return err
+	}
+	result.Print(os.Stdout)
+	file, err := os.Create(command.String("output"))
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err = errors.Join(writeJSON(file, result), file.Close()); err != nil {
+		return err
+	}
+	return result.Check()
+}
+
+// writeJSON writes a value as indented JSON.
+func writeJSON(file *os.File, value any) error {
+	encoder := json.NewEncoder(file)
+	encoder.SetIndent("", "  ")
+	return trace.Wrap(encoder.Encode(value))
+}
--- /dev/null
+++ b/cmd/monsoonferry/main.go
@@ -0,0 +1,91 @@
+// Command monsoonferry runs one VM of a proxy fleet and helps to operate it.
+//
+// Usage:
+//
+//	monsoonferry serve --settings FILE
+//	monsoonferry check [--settings FILE] [--inventory FILE [--against FILE]]
+//	monsoonferry status --admin ADDRESS --key KEY
+//	monsoonferry drain --admin ADDRESS --key KEY
+//	monsoonferry version
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"monsoonferry.org/ferry/conf"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:                  "monsoonferry",
+		Usage:                 "a proxy fleet for targets with gray failures",
+		EnableShellCompletion: true,
+		Commands:              []*cli.Command{serveCommand(), checkCommand(), statusCommand(), drainCommand(), versionCommand()},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "monsoonferry:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "serve as one VM of the fleet",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true}},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return serve(ctx, command.String("settings"))
+		},
+	}
+}
+
+// serve runs until the planned stop that SIGTERM or SIGINT starts is complete.
+// A second signal ends the process at once.
+func serve(ctx context.Context, name string) (err error) {
+	var text []byte
+	if text, err = os.ReadFile(name); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	var settings conf.Settings
+	if settings, err = conf.ParseSettings(text); err != nil {
+		return trace.Wrap(err, "%s", name)
+	}
+	h, err := newHost(settings, os.Stderr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		h.Drain()
+		<-signals
+		cancel()
+	}()
+	return h.Run(ctx)
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, command *cli.Command) error {
+			version := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version = info.Main.Version + " " + info.GoVersion
+			}
+			_, err := fmt.Fprintln(command.Root().Writer, version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmd/monsoonferry/operate.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/conf"
+)
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check settings and inventory, and show what a new inventory changes",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`"},
+			&cli.StringFlag{Name: "inventory", Usage: "inventory `FILE`"},
+			&cli.StringFlag{Name: "against", Usage: "inventory `FILE` to compare with"},
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			return check(command.Root().Writer, command.String("settings"), command.String("inventory"), command.String("against"))
+		},
+	}
+}
+
+// check prints every problem of the named files. It returns an error when
+// there is any.
+func check(w io.Writer, settings, inventory, against string) (err error) {
+	if settings == "" && inventory == "" {
+		return trace.BadParameter("give --settings, --inventory or both")
+	}
+	isBad := false
+	if settings != "" {
+		var text []byte
+		if text, err = os.ReadFile(settings); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		_, err = conf.ParseSettings(text)
+		isBad = printProblems(w, settings, err)
+	}
+	var parsed, other *ferry.Inventory
+	for _, file := range []struct {
+		name   string
+		result **ferry.Inventory
+	}{{inventory, &parsed}, {against, &other}} {
+		if file.name == "" {
+			continue
+		}
+		var text []byte
+		if text, err = os.ReadFile(file.name); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		*file.result, err = conf.ParseInventory(text)
+		isBad = printProblems(w, file.name, err) || isBad
+	}
+	if isBad {
+		return errors.New("the check found problems")
+	}
+	if parsed != nil && other != nil {
+		for _, change := range conf.Diff(other, parsed) {
+			if _, err = fmt.Fprintln(w, change); err != nil {
+				return trace.ConvertSystemError(err)
+			}
+		}
+	}
+	return nil
+}
+
+// printProblems prints the problems of a file and reports whether there are
+// any.
+func printProblems(w io.Writer, name string, err error) bool {
+	if err == nil {
+		_, _ = fmt.Fprintf(w, "%s: accepted\n", name)
+		return false
+	}
+	var problems conf.Problems
+	if !errors.As(err, &problems) {
+		problems = conf.Problems{{Path: "$", Text: err.Error()}}
+	}
+	for _, problem := range problems {
+		_, _ = fmt.Fprintf(w, "%s: %s: %s\n", name, problem.Path, problem.Text)
+	}
+	return true
+}
+
+// adminFlags name the administration API of a VM.
+func adminFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "admin", Usage: "administration `ADDRESS` of the VM", Required: true},
+		&cli.StringFlag{Name: "key", Usage: "operator `KEY`", Sources: cli.EnvVars("FERRY_OPERATOR_KEY"), Required: true},
+	}
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the state of a VM",
+		Flags: append(adminFlags(), &cli.StringFlag{Name: "part", Usage: "status, members, targets, inventory or metrics", Value: "status"}),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return call(ctx, command, http.MethodGet, command.String("part"))
+		},
+	}
+}
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "start the planned stop of a VM",
+		Flags: adminFlags(),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return call(ctx, command, http.MethodPost, "drain")
+		},
+	}
+}
+
+// callTimeout bounds a call to the administration API.
+const callTimeout = 10 * time.Second
+
+// call makes one call to the administration API and prints the answer.
+func call(ctx context.Context, command *cli.Command, method, part string) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var request *http.Request
+	if request, err = http.NewRequestWithContext(ctx, method, "http://"+command.String("admin")+"/"+part, nil); err != nil {
+		return trace.Wrap(err)
+	}
+	request.Header.Set(ferry.HeaderKey, command.String("key"))
+	var answer *http.Response
+	if answer, err = http.DefaultClient.Do(request); err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if _, err = io.Copy(command.Root().Writer, answer.Body); err != nil {
+		return trace.Wrap(err)
+	}
+	if answer.StatusCode >= http.StatusBadRequest {
+		return trace.Errorf("the VM answered status %d", answer.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/conf/doc.go
@@ -0,0 +1,24 @@
+// Package conf decodes, checks and compares the JSON formats of monsoonferry:
+// the settings of a process, the inventory that operators publish and the
+// manifest that splits an inventory into parts.
+//
+// # Concept
+//
+// Acceptance is a pure function of the content, so every VM reaches the same
+// verdict about a version. Decoding reports every problem at once, each with
+// the JSON path of the field. Codec types are private to this package and are
+// mapped to the domain types of package ferry by hand.
+//
+// A manifest names its parts by their SHA-256 digest. Parts are therefore
+// immutable: two versions published in quick order never mix.
+//
+// # Usage
+//
+//	inventory, err := conf.ParseInventory(text)
+//	var problems conf.Problems
+//	if errors.As(err, &problems) {
+//		for _, problem := range problems {
+//			fmt.Println(problem.Path, problem.Text)
+//		}
+//	}
+package conf
--- /dev/null
+++ b/conf/settings.go
@@ -0,0 +1,126 @@
+package conf
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+
+	"monsoonferry.org/ferry"
+)
+
+// Settings configure one process. They are read once at start.
+type Settings struct {
+	ID    ferry.VMID
+	Place ferry.PlaceID
+	// Callers, Peers and Admin are the addresses on which the process listens.
+	Callers netip.AddrPort
+	Peers   netip.AddrPort
+	Admin   netip.AddrPort
+	// Platform lists the addresses of the platform's service.
+	Platform  []netip.AddrPort
+	LogLevel  slog.Level
+	LogFormat LogFormat
+	// OperatorKey is the digest of the key that the administration API asks for.
+	OperatorKey ferry.KeyHash
+	CallerTLS   TLSFiles
+	PeerTLS     TLSFiles
+	// PlainText allows listeners without TLS.
+	PlainText bool
+}
+
+// LogFormat selects the encoding of log lines.
+type LogFormat string
+
+// Log formats.
+const (
+	LogText LogFormat = "Text"
+	LogJSON LogFormat = "Json"
+)
+
+// TLSFiles names PEM files. The zero value means no TLS.
+type TLSFiles struct {
+	Certificate string
+	Key         string
+	// Authority signs the certificates of the other side, for mutual TLS.
+	Authority string
+}
+
+type (
+	settingsDocument struct {
+		ID          string
+		Place       string
+		Callers     string
+		Peers       string
+		Admin       string
+		Platform    []string
+		LogLevel    string
+		LogFormat   string
+		OperatorKey string
+		CallerTLS   tlsDocument
+		PeerTLS     tlsDocument
+		PlainText   bool
+	}
+	tlsDocument struct {
+		Certificate string
+		Key         string
+		Authority   string
+	}
+)
+
+// ParseSettings decodes and checks the settings of a process. It returns
+// Problems when they are not acceptable.
+func ParseSettings(text []byte) (Settings, error) {
+	var d settingsDocument
+	if err := decode(text, &d); err != nil {
+		return Settings{}, err
+	}
+	var problems Problems
+	settings := Settings{
+		ID:        ferry.VMID(d.ID),
+		Place:     ferry.PlaceID(d.Place),
+		Callers:   parseAddress("Callers", d.Callers, &problems),
+		Peers:     parseAddress("Peers", d.Peers, &problems),
+		Admin:     parseAddress("Admin", d.Admin, &problems),
+		LogFormat: LogFormat(d.LogFormat),
+		CallerTLS: TLSFiles(d.CallerTLS),
+		PeerTLS:   TLSFiles(d.PeerTLS),
+		PlainText: d.PlainText,
+	}
+	required(d, &problems)
+	for i, text := range d.Platform {
+		settings.Platform = append(settings.Platform, parseAddress(fmt.Sprintf("Platform[%d]", i), text, &problems))
+	}
+	if d.LogLevel != "" {
+		if err := settings.LogLevel.UnmarshalText([]byte(d.LogLevel)); err != nil {
+			problems.add("LogLevel", "expected Debug, Info, Warn or Error, found %q", d.LogLevel)
+		}
+	}
+	if d.LogFormat != "" && settings.LogFormat != LogText && settings.LogFormat != LogJSON {
+		problems.add("LogFormat", "expected %s or %s, found %q", LogText, LogJSON, d.LogFormat)
+	}
+	key := mapAccount("$", accountDocument{Keys: []string{d.OperatorKey}}, &Problems{})
+	if len(key.Keys) == 1 {
+		settings.OperatorKey = key.Keys[0]
+	} else {
+		problems.add("OperatorKey", "expected a SHA-256 digest of 64 hexadecimal digits")
+	}
+	if err := problems.orNil(); err != nil {
+		return Settings{}, err
+	}
+	return settings, nil
+}
+
+func required(d settingsDocument, problems *Problems) {
+	if d.ID == "" {
+		problems.add("ID", "the field is required")
+	}
+	if d.Place == "" {
+		problems.add("Place", "the field is required")
+	}
+	if len(d.Platform) == 0 {
+		problems.add("Platform", "at least one address is required")
+	}
+	if !d.PlainText && (d.CallerTLS.Certificate == "" || d.PeerTLS.Certificate == "") {
+		problems.add("PlainText", "give CallerTLS and PeerTLS, or set PlainText to true")
+	}
+}
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,479 @@
+package demo
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/admin"
+	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/load"
+)
+
+// Sizes of a run.
+const (
+	vmCount          = 6
+	adviceTargets    = 6
+	orderTargets     = 6
+	slots            = 4
+	adviceTime       = "8ms"
+	orderTime        = "12ms"
+	withdrawnAccount = "clinic-4"
+)
+
+// process is one started program.
+type process struct {
+	id      string
+	address string
+	command *exec.Cmd
+	killed  atomic.Bool
+	done    chan struct{}
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.killed.Store(true)
+	_ = p.command.Process.Kill()
+	<-p.done
+}
+
+func (p *process) isKilled() bool { return p.killed.Load() }
+
+// vm is a process of the fleet.
+type vm struct {
+	process
+	place   ferry.PlaceID
+	callers string
+	peers   string
+}
+
+// target is a process that stands in for a back end.
+type target struct {
+	process
+	service string
+	place   ferry.PlaceID
+}
+
+// fleet is the set of processes of a run.
+type fleet struct {
+	config    Config
+	started   time.Time
+	client    *http.Client
+	platform  process
+	echo      *target
+	targets   []*target
+	vms       []*vm
+	version   uint64
+	withdrawn bool
+}
+
+func newFleet(config Config) *fleet {
+	return &fleet{
+		config: config, started: time.Now(),
+		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableCompression: true}},
+	}
+}
+
+// say shows progress.
+func (f *fleet) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(f.config.Progress, "[%5.1f s] %s\n", time.Since(f.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// places returns the two places of each of the three regions.
+func places() []ferry.Place {
+	var list []ferry.Place
+	for _, region := range []ferry.RegionID{"slavonia", "dalmatia", "istria"} {
+		for i := 1; i <= 2; i++ {
+			list = append(list, ferry.Place{ID: ferry.PlaceID(fmt.Sprintf("%s-%d", region, i)), Region: region})
+		}
+	}
+	return list
+}
+
+// start starts every process and publishes the first configuration.
+func (f *fleet) start(ctx context.Context) (err error) {
+	if err = makeDirectory(f.config.Directory); err != nil {
+		return err
+	}
+	if err = f.startPlatform(); err != nil {
+		return err
+	}
+	all := places()
+	for i := range adviceTargets {
+		if err = f.startTarget(fmt.Sprintf("advice-%d", i), "advice", adviceTime, all[i%len(all)].ID); err != nil {
+			return err
+		}
+	}
+	for i := range orderTargets {
+		if err = f.startTarget(fmt.Sprintf("orders-%d", i), "orders", orderTime, all[i%len(all)].ID); err != nil {
+			return err
+		}
+	}
+	if err = f.startTarget("echo-0", "echo", "1us", all[0].ID); err != nil {
+		return err
+	}
+	f.echo = f.targets[len(f.targets)-1]
+	if err = f.awaitListening(ctx); err != nil {
+		return err
+	}
+	for i := range vmCount {
+		if err = f.prepareVM(fmt.Sprintf("vm-%d", i), all[i%len(all)].ID); err != nil {
+			return err
+		}
+	}
+	if err = f.publish(ctx); err != nil {
+		return err
+	}
+	for _, v := range f.vms {
+		if err = f.launch(&v.process, f.config.Server, "serve", "--settings", f.settingsName(v)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // A port is only looked up.
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// launch starts a program whose log goes to a file.
+func (f *fleet) launch(p *process, program string, args ...string) error {
+	log, err := os.Create(filepath.Join(f.config.Directory, p.id+".log"))
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	p.command = exec.Command(program, args...) //nolint:gosec,noctx // The lab starts the programs that it is told to.
+	p.command.Stdout, p.command.Stderr = log, log
+	p.done = make(chan struct{})
+	if err = p.command.Start(); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	go func() {
+		_ = p.command.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	return nil
+}
+
+func (f *fleet) startPlatform() (err error) {
+	f.platform.id = "platform"
+	if f.platform.address, err = freeAddress(); err != nil {
+		return err
+	}
+	return f.launch(&f.platform, f.config.Lab, "platform", "--listen", f.platform.address)
+}
+
+func (f *fleet) startTarget(id, service, serviceTime string, place ferry.PlaceID) (err error) {
+	t := &target{service: service, place: place}
+	t.id = id
+	if t.address, err = freeAddress(); err != nil {
+		return err
+	}
+	f.targets = append(f.targets, t)
+	return f.launch(&t.process, f.config.Lab, "target", "--listen", t.address, "--name", id,
+		"--slots", fmt.Sprint(slots), "--service-time", serviceTime, "--seed", fmt.Sprint(len(f.targets)))
+}
+
+// awaitListening waits until the stand-ins accept connections.
+func (f *fleet) awaitListening(ctx context.Context) error {
+	_, err := f.await(ctx, func() bool {
+		addresses := []string{f.platform.address}
+		for _, t := range f.targets {
+			addresses = append(addresses, t.address)
+		}
+		for _, address := range addresses {
+			conn, err := net.DialTimeout("tcp", address, time.Second) //nolint:noctx // Only looks for a listener.
+			if err != nil {
+				return false
+			}
+			_ = conn.Close()
+		}
+		return true
+	}, readyTimeout)
+	return err
+}
+
+func (f *fleet) settingsName(v *vm) string {
+	return filepath.Join(f.config.Directory, v.id+".json")
+}
+
+// settingsFile is the settings of a VM of a run.
+type settingsFile struct {
+	ID, Place, Callers, Peers, Admin string
+	Platform                         []string
+	LogLevel, LogFormat, OperatorKey string
+	PlainText                        bool
+}
+
+// prepareVM writes the settings of a VM.
+func (f *fleet) prepareVM(id string, place ferry.PlaceID) (err error) {
+	v := &vm{place: place}
+	v.id = id
+	for _, address := range []*string{&v.callers, &v.peers, &v.address} {
+		if *address, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	hash := ferry.HashKey(operatorKey)
+	var text []byte
+	if text, err = json.MarshalIndent(settingsFile{
+		ID: v.id, Place: string(place), Callers: v.callers, Peers: v.peers, Admin: v.address,
+		Platform: []string{f.platform.address}, LogLevel: "Info", LogFormat: string(conf.LogJSON),
+		OperatorKey: hex.EncodeToString(hash[:]), PlainText: true,
+	}, "", "  "); err != nil {
+		return trace.Wrap(err)
+	}
+	f.vms = append(f.vms, v)
+	return trace.ConvertSystemError(os.WriteFile(f.settingsName(v), text, 0o600))
+}
+
+// allowances returns rate and burst of the client accounts.
+func (f *fleet) allowances() map[string]load.Allowance {
+	return map[string]load.Allowance{
+		"cooperative-1": {Rate: 80, Burst: 40},
+		"cooperative-2": {Rate: 40, Burst: 20},
+		"probes":        {Rate: 60, Burst: 40},
+		"grower":        {Rate: 10, Burst: 10},
+		"clinic-1":      {Rate: 40, Burst: 20},
+		"clinic-2":      {Rate: 20, Burst: 10},
+		"clinic-3":      {Rate: 20, Burst: 10},
+		"clinic-4":      {Rate: 20, Burst: 10},
+	}
+}
+
+// traffic returns what the callers send. The account clinic-3 sends several
+// times its rate.
+func (f *fleet) traffic() []load.Account {
+	get := func(id string, rate float64) load.Account {
+		return load.Account{ID: id, Key: accountKey(id), Rate: rate, Method: http.MethodGet, Path: "/advice/field"}
+	}
+	post := func(id string, rate float64) load.Account {
+		return load.Account{ID: id, Key: accountKey(id), Rate: rate, Method: http.MethodPost, Path: "/orders/new", BodyBytes: 200}
+	}
+	return []load.Account{
+		get("cooperative-1", 64), get("cooperative-2", 30), get("probes", 48), get("grower", 6),
+		post("clinic-1", 30), post("clinic-2", 14), post("clinic-3", 80), post("clinic-4", 14),
+	}
+}
+
+// publish writes the configuration and the list of VMs to the platform.
+func (f *fleet) publish(ctx context.Context) (err error) {
+	f.version++
+	manifest, parts, err := conf.Split(f.inventory())
+	if err != nil {
+		return err
+	}
+	for name, body := range parts {
+		if err = f.post(ctx, f.platform.address, "/control/values/"+name, string(body)); err != nil {
+			return err
+		}
+	}
+	list := ferry.VMList{Version: f.version}
+	for _, v := range f.vms {
+		list.VMs = append(list.VMs, ferry.VM{
+			ID: ferry.VMID(v.id), Place: v.place,
+			Callers: mustAddress(v.callers), Peers: mustAddress(v.peers), Admin: mustAddress(v.address),
+		})
+	}
+	var text []byte
+	if text, err = conf.FormatVMList(list); err != nil {
+		return trace.Wrap(err)
+	}
+	if err = f.post(ctx, f.platform.address, "/control/values/"+conf.VMListName, string(text)); err != nil {
+		return err
+	}
+	if text, err = conf.FormatManifest(manifest); err != nil {
+		return trace.Wrap(err)
+	}
+	return f.post(ctx, f.platform.address, "/control/values/"+conf.ManifestName, string(text))
+}
+
+// inventory returns the inventory of a run in its current version.
+func (f *fleet) inventory() *ferry.Inventory {
+	inventory := &ferry.Inventory{Version: f.version, MaxVMs: vmCount, Places: places()}
+	for _, id := range []ferry.ServiceID{"advice", "orders", "echo"} {
+		inventory.Services = append(inventory.Services, ferry.Service{ID: id, Rules: ferry.Rules{}.Normal()})
+	}
+	for _, t := range f.targets {
+		inventory.Targets = append(inventory.Targets, ferry.Target{
+			ID: ferry.TargetID(t.id), Service: ferry.ServiceID(t.service), Place: t.place,
+			Address: mustAddress(t.address), Slots: slots, MaxConnections: conf.DefaultMaxConnections,
+		})
+	}
+	for id, allowance := range f.allowances() {
+		account := ferry.Account{ID: ferry.AccountID(id), Rate: allowance.Rate, Burst: allowance.Burst}
+		if !f.withdrawn || id != withdrawnAccount {
+			account.Keys = []ferry.KeyHash{hashOf(id)}
+		}
+		inventory.Accounts = append(inventory.Accounts, account)
+	}
+	slices.SortFunc(inventory.Accounts, func(a, b ferry.Account) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	inventory.Routes = []ferry.Route{
+		{ID: "advice", PathPrefix: "/advice/", Service: "advice", IdempotentMethods: []string{http.MethodGet}, Deadline: 5 * time.Second},
+		{ID: "orders", PathPrefix: "/orders/", Service: "orders", Deadline: 5 * time.Second},
+		{ID: "echo", PathPrefix: "/echo", Service: "echo", Open: true, IdempotentMethods: []string{http.MethodGet}, Deadline: time.Second},
+	}
+	return inventory
+}
+
+// seeds returns the addresses at which callers ask first.
+func (f *fleet) seeds() (seeds []netip.AddrPort) {
+	for _, v := range f.vms {
+		seeds = append(seeds, mustAddress(v.callers))
+	}
+	return seeds
+}
+
+// post sends a body to a control interface.
+func (f *fleet) post(ctx context.Context, address, path, body string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return trace.Errorf("%s answered status %d", path, answer.StatusCode)
+	}
+	return nil
+}
+
+// get reads a JSON answer.
+func (f *fleet) get(ctx context.Context, address, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	request.Header.Set(ferry.HeaderKey, operatorKey)
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return trace.Errorf("%s answered status %d", path, answer.StatusCode)
+	}
+	return trace.Wrap(json.NewDecoder(answer.Body).Decode(into))
+}
+
+func (f *fleet) status(ctx context.Context, v *vm) (status admin.Status, ok bool) {
+	err := f.get(ctx, v.address, "/status", &status)
+	return status, err == nil
+}
+
+// stageOf returns the stage of a target as the first VM sees it.
+func (f *fleet) stageOf(ctx context.Context, id string) string {
+	var targets []admin.Target
+	if err := f.get(ctx, f.vms[0].address, "/targets", &targets); err != nil {
+		return ""
+	}
+	for _, t := range targets {
+		if string(t.ID) == id {
+			return t.Stage
+		}
+	}
+	return ""
+}
+
+// falseEjections counts the ejections of healthy targets in the log of the
+// first VM.
+func (f *fleet) falseEjections(ctx context.Context) int {
+	text, err := os.ReadFile(filepath.Join(f.config.Directory, f.vms[0].id+".log"))
+	if err != nil || ctx.Err() != nil {
+		return 0
+	}
+	count := 0
+	for line := range strings.SplitSeq(string(text), "\n") {
+		isEjection := strings.Contains(line, `"target stage"`) && strings.Contains(line, `"Ejected"`)
+		if isEjection && !strings.Contains(line, `"`+f.targets[0].id+`"`) {
+			count++
+		}
+	}
+	return count
+}
+
+// probe sends one request of a client account and returns the status.
+func (f *fleet) probe(ctx context.Context, address, account string) int {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/orders/probe", nil)
+	if err != nil {
+		return 0
+	}
+	request.Header.Set(ferry.HeaderKey, accountKey(account))
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = answer.Body.Close() }()
+	_, _ = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode
+}
+
+// timed measures one request on the open route.
+func (f *fleet) timed(ctx context.Context, address string, into *hdrhistogram.Histogram) error {
+	start := time.Now()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/echo", nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if _, err = io.Copy(io.Discard, answer.Body); err != nil {
+		return trace.Wrap(err)
+	}
+	return into.RecordValue(time.Since(start).Microseconds())
+}
+
+func newLatencies() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+}
+
+// hasVersion reports whether a stamp has the given version.
+func hasVersion(stamp string, version uint64) bool {
+	return strings.HasPrefix(stamp, fmt.Sprintf("%d-", version))
+}
+
+// stop ends every process that was started.
+func (f *fleet) stop() {
+	var all []*process
+	for _, v := range f.vms {
+		all = append(all, &v.process)
+	}
+	for _, t := range f.targets {
+		all = append(all, &t.process)
+	}
+	all = append(all, &f.platform)
+	for _, p := range all {
+		if p.command != nil && p.command.Process != nil {
+			p.kill()
+		}
+	}
+}
--- /dev/null
+++ b/exchange.go
@@ -0,0 +1,159 @@
+package ferry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome classifies what is known about the execution of a request.
+type Outcome int
+
+// Outcomes of an attempt or of a whole request.
+const (
+	// OutcomeNotSent means that no byte reached a target.
+	OutcomeNotSent Outcome = iota
+	// OutcomeNotRun means that the target declared that it did not run the
+	// request.
+	OutcomeNotRun
+	// OutcomeUnknown means that the target may have run the request.
+	OutcomeUnknown
+	// OutcomeDone means that the target answered.
+	OutcomeDone
+)
+
+// String returns the name of the outcome as it appears in logs and headers.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotSent:
+		return "NotSent"
+	case OutcomeNotRun:
+		return "NotRun"
+	case OutcomeUnknown:
+		return "Unknown"
+	case OutcomeDone:
+		return "Done"
+	}
+	return "Invalid"
+}
+
+// IsSafeToRepeat reports whether a request with this outcome certainly did not
+// run, so that sending it again cannot run it twice.
+func (o Outcome) IsSafeToRepeat() bool {
+	return o == OutcomeNotSent || o == OutcomeNotRun
+}
+
+// Headers of the fleet's own protocol with callers and targets.
+const (
+	HeaderKey     = "Ferry-Key"
+	HeaderOutcome = "Ferry-Outcome"
+	HeaderRequest = "Ferry-Request"
+	HeaderAccount = "Ferry-Account"
+	HeaderReason  = "Ferry-Reason"
+	// HeaderDeadline carries the remaining time in milliseconds.
+	HeaderDeadline = "Ferry-Deadline-Ms"
+	// HeaderLoad carries the number of busy slots of a target.
+	HeaderLoad = "Ferry-Load"
+)
+
+// Reason names why a request was refused or a decision taken.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonNoRoute          Reason = "NoRoute"
+	ReasonNoKey            Reason = "NoKey"
+	ReasonUnknownKey       Reason = "UnknownKey"
+	ReasonAmbiguousKey     Reason = "AmbiguousKey"
+	ReasonKeyInPath        Reason = "KeyInPath"
+	ReasonBodyTooLarge     Reason = "BodyTooLarge"
+	ReasonUpgrade          Reason = "UpgradeNotSupported"
+	ReasonOverAllowance    Reason = "OverAllowance"
+	ReasonAllowanceUnknown Reason = "AllowanceUnknown"
+	ReasonNoTarget         Reason = "NoTarget"
+	ReasonOverload         Reason = "Overload"
+	ReasonTargetFailed     Reason = "TargetFailed"
+	ReasonDeadline         Reason = "DeadlineExceeded"
+	ReasonNotReady         Reason = "NotReady"
+	ReasonMalformed        Reason = "Malformed"
+)
+
+// Refusal is the error with which a filter ends a request that it does not
+// forward. Its zero value is not meaningful.
+type Refusal struct {
+	// Status is the HTTP status code.
+	Status int
+	Reason Reason
+	// Outcome is OutcomeNotRun unless an attempt may have run.
+	Outcome Outcome
+	// RetryAfter is the delay after which the caller may try again, or zero.
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("refused with status %d (%s): %s", r.Status, r.Reason, r.Detail)
+}
+
+// Exchange is one request on its way through the filters. The filters fill in
+// the fields in their order; each field is written by one filter only.
+type Exchange struct {
+	Request *http.Request
+	Writer  http.ResponseWriter
+	// ID identifies the request in logs and at the target.
+	ID      string
+	Arrived Moment
+	// Snapshot is the configuration in force when the request arrived.
+	Snapshot Snapshot
+	Route    *Route
+	// Account is nil on an open route.
+	Account *Account
+	// Key is the digest of the key that came with the request.
+	Key KeyHash
+	// Permit is the allowance taken for the request. It is nil on an open route.
+	Permit Permit
+}
+
+// Handler is the rest of a filter chain.
+type Handler interface {
+	Handle(ctx context.Context, exchange *Exchange) error
+}
+
+// Filter is one step on the path of a request. It calls next to continue or
+// returns a *Refusal to end the request.
+type Filter interface {
+	Filter(ctx context.Context, exchange *Exchange, next Handler) error
+}
+
+// Snapshot is the immutable configuration that requests read.
+type Snapshot interface {
+	// Version returns the version of the inventory.
+	Version() uint64
+	// Route returns the longest matching route, or nil.
+	Route(host, path string) *Route
+	// Account returns the client account that owns the key, or nil.
+	Account(key KeyHash) *Account
+	// Service returns the service, or nil.
+	Service(id ServiceID) *Service
+}
+
+// Chain joins filters so that each calls the next and the last calls end.
+func Chain(end Handler, filters ...Filter) Handler {
+	handler := end
+	for i := len(filters) - 1; i >= 0; i-- {
+		handler = link{filter: filters[i], next: handler}
+	}
+	return handler
+}
+
+type link struct {
+	filter Filter
+	next   Handler
+}
+
+// Handle implements Handler.
+func (l link) Handle(ctx context.Context, exchange *Exchange) error {
+	return l.filter.Filter(ctx, exchange, l.next)
+}
--- /dev/null
+++ b/fake/platform.go
@@ -0,0 +1,185 @@
+// Package fake holds small stand-ins for the systems around a fleet: the
+// platform's service and the targets.
+//
+// # Concept
+//
+// The stand-ins speak the protocols of the real systems and can be made to
+// fail. They run inside tests and as processes of the ferrylab command, where
+// faults are set over HTTP below /control.
+//
+// # Usage
+//
+//	platform := fake.NewPlatform()
+//	platform.Publish("Manifest", body)
+//	platform.SetMode(fake.ModeStale)
+//	http.Serve(listener, platform)
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Mode is the way in which the platform works or fails.
+type Mode string
+
+// Modes of the platform.
+const (
+	ModeUp Mode = "Up"
+	// ModeDown cuts every call off.
+	ModeDown Mode = "Down"
+	// ModeStale answers from the values as they were when the mode was set.
+	ModeStale Mode = "Stale"
+	// ModeSlow delays every answer by a second.
+	ModeSlow Mode = "Slow"
+	// ModeFlap answers from the old and the new values in turn.
+	ModeFlap Mode = "Flap"
+)
+
+const slowDelay = time.Second
+
+// value is a published value.
+type value struct {
+	version uint64
+	body    []byte
+}
+
+// Platform implements the platform's service.
+type Platform struct {
+	mu      sync.Mutex
+	mode    Mode
+	values  map[string]value
+	old     map[string]value
+	version uint64
+	changed chan struct{}
+	calls   atomic.Uint64
+}
+
+// NewPlatform returns a platform without values.
+func NewPlatform() *Platform {
+	return &Platform{mode: ModeUp, values: map[string]value{}, old: map[string]value{}, changed: make(chan struct{})}
+}
+
+// Publish sets a value. Its version is higher than that of every value before.
+func (p *Platform) Publish(name string, body []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	p.values[name] = value{version: p.version, body: body}
+	p.wake()
+}
+
+// SetMode changes the way in which the platform works.
+func (p *Platform) SetMode(mode Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if mode == ModeStale || mode == ModeFlap {
+		p.old = make(map[string]value, len(p.values))
+		for name, v := range p.values {
+			p.old[name] = v
+		}
+	}
+	p.mode = mode
+	p.wake()
+}
+
+// Calls returns the number of calls so far.
+func (p *Platform) Calls() uint64 { return p.calls.Load() }
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// read returns a value and a channel that closes at the next change.
+func (p *Platform) read(name string) (v value, ok bool, mode Mode, changed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	source := p.values
+	if p.mode == ModeStale || (p.mode == ModeFlap && p.calls.Load()%2 == 0) {
+		source = p.old
+	}
+	v, ok = source[name]
+	return v, ok, p.mode, p.changed
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	switch name, isValue := strings.CutPrefix(request.URL.Path, "/values/"); {
+	case isValue:
+		p.serveValue(writer, request, name)
+	case strings.HasPrefix(request.URL.Path, "/control/"):
+		p.serveControl(writer, request)
+	default:
+		http.NotFound(writer, request)
+	}
+}
+
+func (p *Platform) serveValue(writer http.ResponseWriter, request *http.Request, name string) {
+	p.calls.Add(1)
+	query := request.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("After"), 10, 64)
+	waitMillis, _ := strconv.Atoi(query.Get("WaitMs"))
+	ctx, cancel := context.WithTimeout(request.Context(), time.Duration(waitMillis)*time.Millisecond)
+	defer cancel()
+	for {
+		v, ok, mode, changed := p.read(name)
+		switch {
+		case mode == ModeDown:
+			panic(http.ErrAbortHandler)
+		case mode == ModeSlow:
+			time.Sleep(slowDelay)
+		}
+		if ok && v.version > after {
+			writer.Header().Set("Value-Version", strconv.FormatUint(v.version, 10))
+			_, _ = writer.Write(v.body)
+			return
+		}
+		if !ok && after == 0 {
+			http.NotFound(writer, request)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			writer.WriteHeader(http.StatusNoContent)
+			return
+		}
+	}
+}
+
+// calls is the answer of the control interface.
+type callsDocument struct {
+	Calls uint64
+}
+
+// maxControlBytes bounds what the control interface reads.
+const maxControlBytes = 4 << 20
+
+// serveControl publishes values and sets the mode.
+func (p *Platform) serveControl(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(request.Body, maxControlBytes))
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	path := strings.TrimPrefix(request.URL.Path, "/control/")
+	if name, isValue := strings.CutPrefix(path, "values/"); isValue {
+		p.Publish(name, body)
+		return
+	}
+	if path == "mode" {
+		p.SetMode(Mode(body))
+		return
+	}
+	if err := json.NewEncoder(writer).Encode(callsDocument{Calls: p.Calls()}); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/fake/target.go
@@ -0,0 +1,251 @@
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"monsoonferry.org/ferry"
+)
+
+// Fault describes how a target fails. The zero Fault is a healthy target.
+type Fault struct {
+	// ErrorShare is the share of requests answered with status 500.
+	ErrorShare float64
+	// ResetShare is the share of requests whose connection is reset after they
+	// ran.
+	ResetShare float64
+	// CutShare is the share of answers that end in the middle.
+	CutShare float64
+	// StallShare is the share of requests that are never answered.
+	StallShare float64
+	// SlowFactor multiplies the service time. Zero stands for 1.
+	SlowFactor float64
+	// FlapSeconds turns the fault on and off in turn, when it is not zero.
+	FlapSeconds float64
+	// FrozenLoad reports a load of zero always.
+	FrozenLoad bool
+}
+
+// Run is one execution of a request.
+type Run struct {
+	ID      string
+	Account string
+	Method  string
+	// AtNanos is the time of the start in nanoseconds since 1970.
+	AtNanos int64
+}
+
+// TargetReport is what a target saw.
+type TargetReport struct {
+	// Runs lists the executions in order of time.
+	Runs []Run
+	// Keys counts the requests that carried a key.
+	Keys int
+	// Shed counts the requests that were refused for lack of slots.
+	Shed int
+	// MaxBusy is the most requests that ran at once.
+	MaxBusy int
+}
+
+// Target implements a back end with a number of slots.
+type Target struct {
+	name        string
+	slots       int
+	serviceTime time.Duration
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	fault    Fault
+	faultAt  time.Time
+	busy     int
+	draining bool
+	report   TargetReport
+}
+
+// KeyMark is part of every key that callers of the stand-ins use. A target
+// that sees it has seen a key.
+const KeyMark = "ferrykey-"
+
+// NewTarget returns a healthy target.
+func NewTarget(name string, slots int, serviceTime time.Duration, seed uint64) *Target {
+	return &Target{
+		name: name, slots: slots, serviceTime: serviceTime,
+		random: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// SetFault makes the target fail.
+func (t *Target) SetFault(fault Fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fault, t.faultAt = fault, time.Now()
+}
+
+// Report returns what the target saw so far.
+func (t *Target) Report() TargetReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	report := t.report
+	report.Runs = slices.Clone(t.report.Runs)
+	return report
+}
+
+// behavior is what happens to one request.
+type behavior struct {
+	shed, fails, resets, cuts, stalls bool
+	time                              time.Duration
+	load                              int
+}
+
+// ServeHTTP implements http.Handler.
+func (t *Target) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	switch request.URL.Path {
+	case "/control/fault":
+		t.serveFault(writer, request)
+		return
+	case "/control/report":
+		if err := json.NewEncoder(writer).Encode(t.Report()); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	case "/health":
+		// The health endpoint of a gray target looks well.
+		return
+	}
+	b := t.begin(request)
+	if b.shed {
+		writer.Header().Set(ferry.HeaderOutcome, ferry.OutcomeNotRun.String())
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer t.end()
+	t.run(writer, request, b)
+}
+
+// run executes one request.
+func (t *Target) run(writer http.ResponseWriter, request *http.Request, b behavior) {
+	body, err := io.Copy(io.Discard, request.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if b.stalls {
+		<-request.Context().Done()
+		return
+	}
+	select {
+	case <-time.After(b.time):
+	case <-request.Context().Done():
+		return
+	}
+	if b.resets {
+		reset(writer)
+		return
+	}
+	writer.Header().Set(ferry.HeaderLoad, strconv.Itoa(b.load))
+	if b.fails {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	answer := fmt.Sprintf("%s %s by %s, %d bytes\n", request.Method, request.URL.RequestURI(), t.name, body)
+	writer.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if b.cuts {
+		_, _ = io.WriteString(writer, answer[:len(answer)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(writer, answer)
+}
+
+// reset closes the connection without an answer.
+func reset(writer http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// begin counts a request and decides what happens to it.
+func (t *Target) begin(request *http.Request) behavior {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if showsKey(request) {
+		t.report.Keys++
+	}
+	if t.busy >= t.slots {
+		t.report.Shed++
+		return behavior{shed: true}
+	}
+	t.busy++
+	t.report.MaxBusy = max(t.report.MaxBusy, t.busy)
+	t.report.Runs = append(t.report.Runs, Run{
+		ID: request.Header.Get(ferry.HeaderRequest), Account: request.Header.Get(ferry.HeaderAccount),
+		Method: request.Method, AtNanos: time.Now().UnixNano(),
+	})
+	fault := t.activeFault()
+	// Half of the service time is fixed, the other half is exponential.
+	spread := 0.5 + 0.5*t.random.ExpFloat64()
+	factor := max(1, fault.SlowFactor)
+	b := behavior{
+		fails:  t.random.Float64() < fault.ErrorShare,
+		resets: t.random.Float64() < fault.ResetShare,
+		cuts:   t.random.Float64() < fault.CutShare,
+		stalls: t.random.Float64() < fault.StallShare,
+		time:   time.Duration(float64(t.serviceTime) * spread * factor),
+		load:   t.busy,
+	}
+	if fault.FrozenLoad {
+		b.load = 0
+	}
+	return b
+}
+
+// activeFault returns the fault, or none in the good half of a flapping one.
+func (t *Target) activeFault() Fault {
+	if t.fault.FlapSeconds > 0 {
+		phase := int(time.Since(t.faultAt).Seconds() / t.fault.FlapSeconds)
+		if phase%2 == 1 {
+			return Fault{}
+		}
+	}
+	return t.fault
+}
+
+func (t *Target) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy--
+}
+
+// showsKey reports whether any part of the request holds a key.
+func showsKey(request *http.Request) bool {
+	if strings.Contains(request.URL.RequestURI(), KeyMark) {
+		return true
+	}
+	for name, values := range request.Header {
+		if strings.Contains(name+strings.Join(values, " "), KeyMark) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Target) serveFault(writer http.ResponseWriter, request *http.Request) {
+	var fault Fault
+	if err := json.NewDecoder(request.Body).Decode(&fault); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.SetFault(fault)
+}
--- /dev/null
+++ b/gossip/message.go
@@ -0,0 +1,113 @@
+package gossip
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"monsoonferry.org/ferry"
+)
+
+// Stamp orders configurations. The zero Stamp stands for no configuration.
+type Stamp struct {
+	Version uint64
+	// Digest is the SHA-256 digest of the manifest.
+	Digest [sha256.Size]byte
+}
+
+// IsAfter reports whether s supersedes other.
+func (s Stamp) IsAfter(other Stamp) bool {
+	if s.Version != other.Version {
+		return s.Version > other.Version
+	}
+	return bytes.Compare(s.Digest[:], other.Digest[:]) > 0
+}
+
+// String returns the version and the start of the digest.
+func (s Stamp) String() string {
+	const shown = 4
+	return fmt.Sprintf("%d-%s", s.Version, hex.EncodeToString(s.Digest[:shown]))
+}
+
+// Source names where a value comes from. The zero Source is the platform;
+// another value is a VM.
+type Source ferry.VMID
+
+// Event is an input of the Controller.
+type Event interface{ isEvent() }
+
+// ManifestEvent reports a manifest that a source holds.
+type ManifestEvent struct {
+	From Source
+	Body []byte
+}
+
+// PartEvent reports the content of a part.
+type PartEvent struct {
+	Name string
+	Body []byte
+}
+
+// MissingEvent reports that a source could not give a part or manifest.
+type MissingEvent struct {
+	From Source
+	Name string
+}
+
+// PeerEvent reports the stamp that another VM has in force.
+type PeerEvent struct {
+	From  ferry.VMID
+	Stamp Stamp
+	// Ready reports that the VM serves requests.
+	Ready bool
+}
+
+// ListEvent reports how many VMs the platform lists, this VM included, and
+// which of them can be reached.
+type ListEvent struct {
+	Listed int
+	Live   []ferry.VMID
+}
+
+// TickEvent lets time pass.
+type TickEvent struct{}
+
+func (ManifestEvent) isEvent() {}
+func (PartEvent) isEvent()     {}
+func (MissingEvent) isEvent()  {}
+func (PeerEvent) isEvent()     {}
+func (ListEvent) isEvent()     {}
+func (TickEvent) isEvent()     {}
+
+// Action is an output of the Controller.
+type Action interface{ isAction() }
+
+// FetchAction asks for a value. The name conf.ManifestName asks for the
+// manifest.
+type FetchAction struct {
+	From Source
+	Name string
+}
+
+// ApplyAction takes an accepted inventory into use.
+type ApplyAction struct {
+	Inventory *ferry.Inventory
+	Stamp     Stamp
+}
+
+// RejectAction reports a version that is not acceptable. The version in force
+// stays.
+type RejectAction struct {
+	From  Source
+	Stamp Stamp
+	Err   error
+}
+
+// ReadyAction reports that the VM may serve requests.
+type ReadyAction struct{}
+
+func (FetchAction) isAction()  {}
+func (ApplyAction) isAction()  {}
+func (RejectAction) isAction() {}
+func (ReadyAction) isAction()  {}
--- /dev/null
+++ b/health/detector.go
@@ -0,0 +1,335 @@
+package health
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"monsoonferry.org/ferry"
+)
+
+const (
+	// hotScore is the ratio from which a VM reports what it sees of a target.
+	hotScore = 1.0
+	// recentTime is the age at which a score no longer counts as observed.
+	recentTime = 5 * time.Second
+	// baselineMargin scales the median error share of a service.
+	baselineMargin = 1.5
+	// baselineAge is the age at which the baseline is computed anew.
+	baselineAge = 100 * time.Millisecond
+)
+
+// Distance tells how far a target is from this VM. Latencies are compared
+// only between targets of the same distance.
+type Distance int
+
+// service is the state of one service.
+type service struct {
+	rules     ferry.Rules
+	threshold float64
+	targets   []ferry.TargetID
+	latencies map[Distance]*latency
+	// baseline is the error share of a healthy target as of baselineAt.
+	baseline   float64
+	baselineAt time.Duration
+}
+
+// observed is the state of one target.
+type observed struct {
+	target *ferry.Target
+	// scores holds the ratios by observing place.
+	scores map[ferry.PlaceID]*Score
+	// unsent is what this VM has not reported yet.
+	unsent Increment
+	// hotUntil is the steady time until which increments are reported.
+	hotUntil time.Duration
+}
+
+// Detector finds suspected targets. It is not safe for concurrent use.
+type Detector struct {
+	place    ferry.PlaceID
+	services map[ferry.ServiceID]*service
+	targets  map[ferry.TargetID]*observed
+}
+
+// NewDetector returns the detector of a VM in the given place.
+func NewDetector(place ferry.PlaceID) *Detector {
+	return &Detector{
+		place:    place,
+		services: map[ferry.ServiceID]*service{},
+		targets:  map[ferry.TargetID]*observed{},
+	}
+}
+
+// Apply takes the services and targets of an inventory into use. Scores of
+// targets that stay are kept.
+func (d *Detector) Apply(inventory *ferry.Inventory) {
+	services := map[ferry.ServiceID]*service{}
+	for _, s := range inventory.Services {
+		kept := &service{rules: s.Rules, latencies: map[Distance]*latency{}}
+		if old := d.services[s.ID]; old != nil {
+			kept.latencies = old.latencies
+		}
+		services[s.ID] = kept
+	}
+	targets := map[ferry.TargetID]*observed{}
+	slots := map[ferry.ServiceID]int{}
+	for i := range inventory.Targets {
+		target := &inventory.Targets[i]
+		o := d.targets[target.ID]
+		if o == nil || o.target.Service != target.Service || o.target.Address != target.Address {
+			o = &observed{scores: map[ferry.PlaceID]*Score{}}
+		}
+		o.target = target
+		targets[target.ID] = o
+		slots[target.Service] += target.Slots
+		s := services[target.Service]
+		s.targets = append(s.targets, target.ID)
+	}
+	for id, s := range services {
+		s.threshold = Threshold(slots[id], s.rules.Normal().Sensitivity)
+	}
+	d.services, d.targets = services, targets
+}
+
+// Observe counts the result of an attempt of this VM.
+func (d *Detector) Observe(now ferry.Moment, id ferry.TargetID, distance Distance, result ferry.Result) {
+	o := d.targets[id]
+	if o == nil || result.Verdict == ferry.VerdictNone || result.Verdict == ferry.VerdictShed {
+		return
+	}
+	s := d.services[o.target.Service]
+	increment := Increment{Target: id}
+	bad, good := errorRatios(d.baseline(now, s))
+	if result.Verdict.IsBad() {
+		increment.Errors, increment.Bad = bad, 1
+	} else {
+		increment.Errors, increment.Good = good, 1
+		if result.FirstByte > 0 {
+			increment.Slowness = s.latency(distance).ratio(result.FirstByte)
+		}
+	}
+	d.score(o, d.place).add(now, increment)
+	o.unsent.Errors += increment.Errors
+	o.unsent.Slowness += increment.Slowness
+	o.unsent.Good += increment.Good
+	o.unsent.Bad += increment.Bad
+}
+
+func (s *service) latency(distance Distance) *latency {
+	l := s.latencies[distance]
+	if l == nil {
+		l = &latency{}
+		s.latencies[distance] = l
+	}
+	return l
+}
+
+func (d *Detector) score(o *observed, place ferry.PlaceID) *Score {
+	score := o.scores[place]
+	if score == nil {
+		score = &Score{}
+		o.scores[place] = score
+	}
+	return score
+}
+
+// baseline returns the error share of a healthy target: the configured one,
+// or that of the median target when the whole service errs more.
+func (d *Detector) baseline(now ferry.Moment, s *service) float64 {
+	if s.baseline > 0 && now.Steady-s.baselineAt < baselineAge {
+		return s.baseline
+	}
+	var shares []float64
+	for _, id := range s.targets {
+		score := d.targets[id].scores[d.place]
+		if score == nil || now.Steady-score.At > recentTime {
+			continue
+		}
+		if total := score.Good + score.Bad; total >= 1 {
+			shares = append(shares, score.Bad/total)
+		}
+	}
+	s.baselineAt = now.Steady
+	s.baseline = max(s.rules.Normal().BaselineErrors, baselineMargin*median(shares))
+	return s.baseline
+}
+
+// median returns the lower median, or 0 for an empty list.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// Report returns the increments since the last report that other VMs need to
+// know, in order of target.
+func (d *Detector) Report(now ferry.Moment) []Increment {
+	var report []Increment
+	for id, o := range d.targets {
+		if o.unsent.Good+o.unsent.Bad == 0 {
+			continue
+		}
+		if s := o.scores[d.place]; s.Errors >= hotScore || s.Slowness >= hotScore {
+			o.hotUntil = now.Steady + recentTime
+		}
+		if now.Steady < o.hotUntil {
+			o.unsent.Target = id
+			report = append(report, o.unsent)
+		}
+		o.unsent = Increment{}
+	}
+	slices.SortFunc(report, func(a, b Increment) int { return cmp.Compare(a.Target, b.Target) })
+	return report
+}
+
+// Merge adds the report of another VM in the given place.
+func (d *Detector) Merge(now ferry.Moment, place ferry.PlaceID, report []Increment) {
+	for _, increment := range report {
+		o := d.targets[increment.Target]
+		if o == nil {
+			continue
+		}
+		d.score(o, place).add(now, increment)
+		o.hotUntil = now.Steady + recentTime
+	}
+}
+
+// Suspect is a target that the evidence speaks against.
+type Suspect struct {
+	Target *ferry.Target
+	// Place is the only place that sees the fault, or empty when all do.
+	Place ferry.PlaceID
+	// Excess is the ratio above that of the median target of the service.
+	Excess float64
+	// Share is the error share seen lately.
+	Share float64
+}
+
+// Suspects returns the suspected targets of a service, the worst first.
+func (d *Detector) Suspects(now ferry.Moment, id ferry.ServiceID) []Suspect {
+	s := d.services[id]
+	if s == nil {
+		return nil
+	}
+	var suspects []Suspect
+	for place := range d.placesOf(s) {
+		suspects = append(suspects, d.suspectsOf(now, s, place)...)
+	}
+	suspects = d.joinPlaces(now, suspects)
+	slices.SortFunc(suspects, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(b.Excess, a.Excess), cmp.Compare(a.Target.ID, b.Target.ID), cmp.Compare(a.Place, b.Place))
+	})
+	return suspects
+}
+
+func (d *Detector) placesOf(s *service) map[ferry.PlaceID]bool {
+	places := map[ferry.PlaceID]bool{}
+	for _, id := range s.targets {
+		for place := range d.targets[id].scores {
+			places[place] = true
+		}
+	}
+	return places
+}
+
+// suspectsOf compares the targets of a service as one place sees them.
+func (d *Detector) suspectsOf(now ferry.Moment, s *service, place ferry.PlaceID) []Suspect {
+	var errors, slowness []float64
+	for _, id := range s.targets {
+		if score := d.targets[id].scores[place]; score != nil && now.Steady-score.At <= recentTime {
+			errors = append(errors, score.Errors)
+			slowness = append(slowness, score.Slowness)
+		}
+	}
+	commonErrors, commonSlowness := median(errors), median(slowness)
+	var suspects []Suspect
+	for _, id := range s.targets {
+		o := d.targets[id]
+		score := o.scores[place]
+		if score == nil {
+			continue
+		}
+		excess := max(score.Errors-commonErrors, score.Slowness-commonSlowness)
+		if excess < s.threshold {
+			continue
+		}
+		share := score.Bad / max(1, score.Good+score.Bad)
+		suspects = append(suspects, Suspect{Target: o.target, Place: place, Excess: excess, Share: share})
+	}
+	return suspects
+}
+
+// joinPlaces makes one suspect without a place of a target that two or more
+// places suspect while no other place sees it well.
+func (d *Detector) joinPlaces(now ferry.Moment, suspects []Suspect) []Suspect {
+	count := map[ferry.TargetID]int{}
+	for _, s := range suspects {
+		count[s.Target.ID]++
+	}
+	var joined []Suspect
+	done := map[ferry.TargetID]bool{}
+	for _, s := range suspects {
+		id := s.Target.ID
+		observers := d.observers(now, id)
+		if count[id] < observers || (observers < 2 && !d.isOwnPlace(s)) {
+			joined = append(joined, s)
+			continue
+		}
+		if !done[id] {
+			done[id] = true
+			s.Place = ""
+			joined = append(joined, s)
+		}
+	}
+	return joined
+}
+
+// isOwnPlace reports whether the observers are in the target's own place. What
+// they see is no fault of a path between places.
+func (d *Detector) isOwnPlace(s Suspect) bool { return s.Place == s.Target.Place }
+
+// observers returns the number of places with a recent score of the target.
+func (d *Detector) observers(now ferry.Moment, id ferry.TargetID) int {
+	count := 0
+	for _, score := range d.targets[id].scores {
+		if now.Steady-score.At <= recentTime {
+			count++
+		}
+	}
+	return count
+}
+
+// Score returns the score of a target in one place.
+func (d *Detector) Score(id ferry.TargetID, place ferry.PlaceID) Score {
+	if o := d.targets[id]; o != nil && o.scores[place] != nil {
+		return *o.scores[place]
+	}
+	return Score{}
+}
+
+// Reset forgets what all places saw of a target.
+func (d *Detector) Reset(id ferry.TargetID) {
+	if o := d.targets[id]; o != nil {
+		clear(o.scores)
+	}
+}
+
+// counts returns the recent attempts on a target from all places or, when
+// place is not empty, from one.
+func (d *Detector) counts(now ferry.Moment, id ferry.TargetID, place ferry.PlaceID) (good, bad float64) {
+	o := d.targets[id]
+	if o == nil {
+		return 0, 0
+	}
+	for from, score := range o.scores {
+		if place == "" || from == place {
+			score.fade(now)
+			good += score.Good
+			bad += score.Bad
+		}
+	}
+	return good, bad
+}
--- /dev/null
+++ b/health/evidence.go
@@ -0,0 +1,134 @@
+package health
+
+import (
+	"math"
+	"time"
+
+	"monsoonferry.org/ferry"
+)
+
+// Increment is what one VM saw of one target since its last report.
+type Increment struct {
+	Target ferry.TargetID
+	// Errors and Slowness are increments of the two log-likelihood ratios.
+	Errors   float64
+	Slowness float64
+	Good     int
+	Bad      int
+}
+
+// Score is the state of the two ratios of a target in one observing place.
+type Score struct {
+	Errors   float64
+	Slowness float64
+	// Good and Bad count recent attempts; both fade with goodFade.
+	Good float64
+	Bad  float64
+	// At is the steady time of the last attempt.
+	At time.Duration
+	// fadedAt is the steady time to which Good and Bad belong.
+	fadedAt time.Duration
+}
+
+// add applies an increment. The ratios never fall below zero, so that a long
+// healthy past does not delay detection.
+func (s *Score) add(now ferry.Moment, increment Increment) {
+	s.fade(now)
+	s.Errors = max(0, s.Errors+increment.Errors)
+	s.Slowness = max(0, s.Slowness+increment.Slowness)
+	s.Good += float64(increment.Good)
+	s.Bad += float64(increment.Bad)
+	s.At = now.Steady
+}
+
+// fadeTime is the time in which the counts of recent attempts fall to 1/e.
+const fadeTime = 5 * time.Second
+
+func (s *Score) fade(now ferry.Moment) {
+	factor := math.Exp(-(now.Steady - s.fadedAt).Seconds() / fadeTime.Seconds())
+	s.fadedAt = now.Steady
+	s.Good *= factor
+	s.Bad *= factor
+}
+
+const (
+	// slowFactor is the slowdown against the service that counts as a fault.
+	slowFactor = 2.5
+	// maxSlowRatio and minSlowRatio bound the increment of one answer, since
+	// latencies have heavier tails than the model.
+	maxSlowRatio = 1.5
+	minSlowRatio = -1.0
+	// minSpread is the least standard deviation of the logarithm of latency.
+	minSpread = 0.3
+	// medianStep and spreadStep are the steps of the running estimates.
+	medianStep = 0.02
+	spreadStep = 0.01
+	// warmUp is the number of answers before latencies are judged.
+	warmUp = 50
+	// spreadFactor turns a median absolute deviation into a standard deviation.
+	spreadFactor = 1.4826
+)
+
+// latency follows the logarithm of the time to first byte of one service.
+// Medians are used because a few slow targets hardly move them.
+type latency struct {
+	count  int
+	median float64
+	spread float64
+}
+
+// ratio returns the increment of the log-likelihood ratio for an answer and
+// updates the estimates.
+func (l *latency) ratio(firstByte time.Duration) float64 {
+	x := math.Log(max(firstByte, time.Microsecond).Seconds())
+	if l.count == 0 {
+		l.median, l.spread = x, 1
+	}
+	l.count++
+	deviation := x - l.median
+	step := 1.0
+	if l.count < warmUp {
+		step = float64(warmUp) / float64(l.count)
+	}
+	l.median += math.Copysign(medianStep*step, deviation)
+	l.spread = max(0, l.spread+math.Copysign(spreadStep*step, math.Abs(deviation)-l.spread))
+	if l.count < warmUp {
+		return 0
+	}
+	sigma := max(minSpread, l.spread*spreadFactor)
+	shift := math.Log(slowFactor)
+	ratio := shift / (sigma * sigma) * (deviation - shift/2)
+	return min(maxSlowRatio, max(minSlowRatio, ratio))
+}
+
+const (
+	// faultFactor and minFault give the error share of a faulty target from
+	// that of a healthy one.
+	faultFactor = 10
+	minFault    = 0.1
+	maxFault    = 0.95
+	maxBaseline = 0.6
+)
+
+// errorRatios returns the increments of the log-likelihood ratio for a failed
+// and a successful attempt, given the error share of healthy targets.
+func errorRatios(baseline float64) (bad, good float64) {
+	baseline = min(baseline, maxBaseline)
+	fault := min(maxFault, max(minFault, faultFactor*baseline))
+	return math.Log(fault / baseline), math.Log((1 - fault) / (1 - baseline))
+}
+
+// Threshold returns the ratio at which a target is suspected. A healthy target
+// reaches it about once in attemptsPerDay times daysBetween attempts.
+func Threshold(slots int, sensitivity float64) float64 {
+	attempts := float64(max(1, slots)) * attemptsPerSlot * secondsPerDay * daysBetween
+	return math.Log(attempts) / sensitivity
+}
+
+const (
+	// attemptsPerSlot is the traffic of a busy slot in attempts per second.
+	attemptsPerSlot = 40
+	secondsPerDay   = 86400
+	// daysBetween is the least time between two false suspicions of a service.
+	daysBetween = 1
+)
--- /dev/null
+++ b/host/allow.go
@@ -0,0 +1,253 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/limit"
+	"monsoonferry.org/ferry/member"
+	"monsoonferry.org/ferry/peer"
+)
+
+const (
+	// poolTick is the time between two ticks of the pools.
+	poolTick = 20 * time.Millisecond
+	// askInterval is the time between two asks for shares.
+	askInterval = 500 * time.Millisecond
+	// tidyInterval is the time between two searches for idle buckets.
+	tidyInterval = 10 * time.Second
+)
+
+// allowanceEvent is an input of the allowance loop.
+type allowanceEvent struct {
+	inventory *ferry.Inventory
+	view      *member.View
+	inbound   *peer.Inbound
+	ask       *limit.GrantAsk
+	leave     bool
+}
+
+// AllowanceUsage is the published state of the allowance loop.
+type AllowanceUsage struct {
+	Buckets int
+	Pools   int
+	// Held is the number of shards that this VM should hold, and Share the
+	// average share held of them.
+	Held  int
+	Share float64
+	// Parts is the number of parts in force, or 0 while the VM lends none.
+	Parts int
+}
+
+// allowanceLoop owns lender and holder.
+type allowanceLoop struct {
+	self   limit.Process
+	clock  ferry.Clock
+	log    *slog.Logger
+	mesh   *peer.Mesh
+	pools  *limit.Pools
+	events chan allowanceEvent
+
+	lender    *limit.Lender
+	holder    *limit.Holder
+	view      member.View
+	placement limit.Placement
+	parts     int
+	leaving   bool
+	askedAt   ferry.Moment
+	tidiedAt  ferry.Moment
+
+	ask      atomic.Pointer[limit.LeaseAsk]
+	usage    atomic.Pointer[AllowanceUsage]
+	rights   atomic.Pointer[map[int]float64]
+	overload atomic.Uint64
+}
+
+func newAllowanceLoop(self limit.Process, clock ferry.Clock, log *slog.Logger, mesh *peer.Mesh) *allowanceLoop {
+	loop := &allowanceLoop{
+		self: self, clock: clock, log: log, mesh: mesh,
+		events: make(chan allowanceEvent, loopQueue),
+		lender: limit.NewLender(self, clock.Now()),
+		holder: limit.NewHolder(self),
+	}
+	loop.pools = limit.NewPools(self, clock, loop)
+	loop.ask.Store(&limit.LeaseAsk{})
+	loop.usage.Store(&AllowanceUsage{})
+	loop.rights.Store(&map[int]float64{})
+	return loop
+}
+
+// currentAsk returns the ask for shares that the next heartbeats carry.
+func (l *allowanceLoop) currentAsk() limit.LeaseAsk { return *l.ask.Load() }
+
+// right returns the part of the right to eject that this VM holds.
+func (l *allowanceLoop) right(shard int) float64 { return (*l.rights.Load())[shard] }
+
+// post hands an event to the loop. It waits while the queue is full.
+func (l *allowanceLoop) post(ctx context.Context, event allowanceEvent) {
+	select {
+	case l.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// SendAsk implements limit.Sender. An ask that finds the queue full is lost
+// and repeated by its pool.
+func (l *allowanceLoop) SendAsk(to ferry.VMID, ask limit.GrantAsk) {
+	if to != l.self.VM {
+		l.mesh.Send(to, ask)
+		return
+	}
+	select {
+	case l.events <- allowanceEvent{ask: &ask}:
+	default:
+		l.overload.Add(1)
+	}
+}
+
+// run owns lender and holder until ctx ends.
+func (l *allowanceLoop) run(ctx context.Context) error {
+	ticker := time.NewTicker(poolTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-l.events:
+			l.handle(event)
+		case <-ticker.C:
+			l.tick()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (l *allowanceLoop) handle(event allowanceEvent) {
+	now := l.clock.Now()
+	switch {
+	case event.inventory != nil:
+		l.parts = event.inventory.MaxVMs
+		l.holder.SetAccounts(now, event.inventory.Accounts)
+		l.setShare(now)
+	case event.view != nil:
+		l.view = *event.view
+		l.setShare(now)
+		l.place(now)
+	case event.ask != nil:
+		l.pools.Answer(now, l.grant(now, *event.ask))
+	case event.inbound != nil:
+		l.receive(now, *event.inbound)
+	case event.leave:
+		l.leaving = true
+		l.place(now)
+	}
+}
+
+func (l *allowanceLoop) setShare(now ferry.Moment) {
+	l.lender.SetShare(now, l.parts, l.view.Rank < l.parts)
+}
+
+// place follows a changed view. Shards that another VM should hold are given
+// back with their tokens.
+func (l *allowanceLoop) place(now ferry.Moment) {
+	placement := limit.Place(l.view.Holders())
+	lost := l.placement.Held(l.self.VM) &^ placement.Held(l.self.VM) & limit.AccountMask
+	l.placement = placement
+	l.pools.SetPlacement(placement)
+	if lost != 0 {
+		l.release(now, lost)
+	}
+	l.renew(now)
+}
+
+func (l *allowanceLoop) release(now ferry.Moment, lost limit.Mask) {
+	back, handOvers := l.holder.Release(now, lost, l.placement)
+	l.lender.Return(now, back)
+	for _, m := range l.view.Members {
+		if m.VM.ID != l.self.VM {
+			l.mesh.Send(m.VM.ID, back)
+		}
+	}
+	for to, handOver := range handOvers {
+		l.mesh.Send(to, handOver)
+		l.log.Info("tokens handed over", slog.String("to", string(to)), slog.Int("accounts", len(handOver.Balances)))
+	}
+	l.log.Info("shards released", slog.Uint64("mask", uint64(back.Mask)))
+}
+
+// renew asks every VM, this one included, for the shares of the held shards.
+func (l *allowanceLoop) renew(now ferry.Moment) {
+	l.askedAt = now
+	ask := l.holder.Ask(now, l.placement.Held(l.self.VM))
+	l.ask.Store(&ask)
+	l.holder.Renew(now, l.lender.Lend(now, ask, l.placement))
+	l.publish(now)
+}
+
+func (l *allowanceLoop) tick() {
+	now := l.clock.Now()
+	l.pools.Tick(now)
+	if now.Since(l.askedAt) >= askInterval {
+		l.renew(now)
+	}
+	if now.Since(l.tidiedAt) >= tidyInterval {
+		l.tidiedAt = now
+		l.holder.Tidy(now)
+	}
+}
+
+// publish makes the state of the loop visible to others.
+func (l *allowanceLoop) publish(now ferry.Moment) {
+	usage := AllowanceUsage{Pools: l.pools.Count(), Parts: l.lender.Parts()}
+	usage.Buckets, _ = l.holder.Usage()
+	rights := map[int]float64{}
+	held := l.placement.Held(l.self.VM)
+	total := 0.0
+	for shard := range limit.Shards {
+		if !held.Has(shard) {
+			continue
+		}
+		usage.Held++
+		total += l.holder.Share(now, shard)
+		if !limit.AccountMask.Has(shard) {
+			rights[shard] = l.holder.ShareFor(now, shard, ejectionBacking)
+		}
+	}
+	if usage.Held > 0 {
+		usage.Share = total / float64(usage.Held)
+	}
+	l.usage.Store(&usage)
+	l.rights.Store(&rights)
+}
+
+func (l *allowanceLoop) grant(now ferry.Moment, ask limit.GrantAsk) limit.GrantAnswer {
+	answer := l.holder.Grant(now, ask)
+	if answer.Word != limit.WordGranted {
+		l.log.Info("tokens not granted", slog.String("account", string(ask.Account)), slog.String("to", string(ask.From.VM)),
+			slog.Int("need", ask.Need), slog.Int("granted", answer.Granted), slog.String("reason", answer.Word.String()))
+	}
+	return answer
+}
+
+// receive handles the messages of other VMs.
+func (l *allowanceLoop) receive(now ferry.Moment, inbound peer.Inbound) {
+	switch message := inbound.Message.(type) {
+	case peer.Beat:
+		if message.LeaseMask != 0 {
+			ask := limit.LeaseAsk{Holder: inbound.From, Sequence: message.LeaseSequence, Mask: message.LeaseMask}
+			l.mesh.Send(inbound.From.VM, l.lender.Lend(now, ask, l.placement))
+		}
+	case limit.LeaseAnswer:
+		l.holder.Renew(now, message)
+	case limit.LeaseReturn:
+		l.lender.Return(now, message)
+	case limit.HandOver:
+		l.holder.Accept(now, message)
+	case limit.GrantAsk:
+		l.mesh.Send(inbound.From.VM, l.grant(now, message))
+	case limit.GrantAnswer:
+		l.pools.Answer(now, message)
+	}
+}
--- /dev/null
+++ b/host/callers.go
@@ -0,0 +1,148 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
+	"monsoonferry.org/ferry/entry"
+	"monsoonferry.org/ferry/proxy"
+)
+
+const (
+	// entryPath is the path at which callers ask for addresses.
+	entryPath = "/.ferry/entry"
+	// headerTime bounds the time to receive the head of a request.
+	headerTime = 5 * time.Second
+	// idleTime is the time for which an idle connection is kept.
+	idleTime = 2 * time.Minute
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 32 << 10
+	// closeTime bounds the closing of a listener.
+	closeTime = 2 * time.Second
+)
+
+// callers is the side of the host that faces callers.
+type callers struct {
+	place   ferry.PlaceID
+	next    *proxy.Server
+	control *controlLoop
+
+	inFlight atomic.Int64
+	total    atomic.Uint64
+	draining atomic.Bool
+
+	mu   sync.Mutex
+	stop drain.Controller
+}
+
+func newCallers(place ferry.PlaceID, next *proxy.Server, control *controlLoop) *callers {
+	return &callers{place: place, next: next, control: control, stop: drain.Controller{AnswerLifetime: entry.Lifetime}}
+}
+
+// ServeHTTP implements http.Handler.
+func (c *callers) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
+	if c.draining.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	if request.URL.Path == entryPath {
+		c.serveEntry(writer, request)
+		return
+	}
+	c.total.Add(1)
+	// Targets may answer before they have read the whole request.
+	if err := http.NewResponseController(writer).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		panic(http.ErrAbortHandler)
+	}
+	c.next.ServeHTTP(writer, request)
+}
+
+// entryDocument is the JSON answer to a caller that asks for addresses.
+type entryDocument struct {
+	Addresses []string
+	// LifetimeSeconds is the time for which the caller may keep the answer.
+	LifetimeSeconds float64
+}
+
+func (c *callers) serveEntry(writer http.ResponseWriter, request *http.Request) {
+	view := c.control.view.Load()
+	var places []ferry.Place
+	if snapshot := c.control.snapshot.Load(); snapshot != nil {
+		places = snapshot.Inventory().Places
+	}
+	caller := request.URL.Query().Get("Caller")
+	if caller == "" {
+		caller, _, _ = net.SplitHostPort(request.RemoteAddr)
+	}
+	document := entryDocument{Addresses: []string{}, LifetimeSeconds: entry.Lifetime.Seconds()}
+	for _, vm := range entry.Choose(view.Serving(), places, c.place, caller) {
+		document.Addresses = append(document.Addresses, vm.Callers.String())
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Cache-Control", "no-store")
+	if len(document.Addresses) == 0 {
+		writer.Header().Set("Retry-After", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+	if err := json.NewEncoder(writer).Encode(document); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve accepts callers until ctx ends.
+func (c *callers) serve(ctx context.Context, listener net.Listener, config *tls.Config) error {
+	server := &http.Server{
+		Handler: c, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
+	}
+	server.TLSConfig = config
+	return serveHTTP(ctx, server, listener)
+}
+
+// serveHTTP runs a server until ctx ends and then lets its requests finish.
+func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+	closed := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTime)
+		defer cancel()
+		closed <- server.Shutdown(closing)
+	})
+	defer stop()
+	if err := serveOn(server, listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	if err := <-closed; err != nil {
+		return server.Close()
+	}
+	return nil
+}
+
+func (c *callers) beginDrain(now ferry.Moment) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining.Store(true)
+	c.stop.Begin(now)
+}
+
+func (c *callers) isDrained(now ferry.Moment) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stop.IsDone(now, c.inFlight.Load(), c.total.Load())
+}
+
+// serveOn serves with TLS when the server has a configuration for it.
+func serveOn(server *http.Server, listener net.Listener) error {
+	if server.TLSConfig != nil {
+		return server.ServeTLS(listener, "", "")
+	}
+	return server.Serve(listener)
+}
--- /dev/null
+++ b/host/control.go
@@ -0,0 +1,338 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/gossip"
+	"monsoonferry.org/ferry/limit"
+	"monsoonferry.org/ferry/member"
+	"monsoonferry.org/ferry/peer"
+	"monsoonferry.org/ferry/store"
+)
+
+const (
+	// controlTick is the time between two ticks of the control loop.
+	controlTick = 100 * time.Millisecond
+	// loopQueue is the number of events that wait for a loop.
+	loopQueue = 4096
+	// readersPerPlace is the number of VMs of a place that watch the platform.
+	readersPerPlace = 2
+	// pollInterval is the time between two reads of a VM that does not watch.
+	pollInterval = 20 * time.Second
+	// failurePause is the pause after a failed read.
+	failurePause = 500 * time.Millisecond
+)
+
+// controlEvent is an input of the control loop.
+type controlEvent struct {
+	member  member.Event
+	gossip  gossip.Event
+	inbound *peer.Inbound
+}
+
+// controlLoop owns membership and configuration.
+type controlLoop struct {
+	self      limit.Process
+	clock     ferry.Clock
+	log       *slog.Logger
+	mesh      *peer.Mesh
+	store     ferry.Store
+	allowance *allowanceLoop
+	detection *detectionLoop
+	events    chan controlEvent
+
+	members *member.Controller
+	configs *gossip.Controller
+	leaving bool
+	pending *conf.View
+
+	// view and snapshot are read by other goroutines.
+	view     atomic.Pointer[member.View]
+	snapshot atomic.Pointer[conf.View]
+	stamp    atomic.Pointer[gossip.Stamp]
+	rejected atomic.Pointer[gossip.RejectAction]
+	isReader atomic.Bool
+}
+
+func newControlLoop(self ferry.VM, incarnation uint64, h *Host) *controlLoop {
+	loop := &controlLoop{
+		self:  limit.Process{VM: self.ID, Incarnation: incarnation},
+		clock: h.clock, log: h.log, mesh: h.mesh, store: h.store,
+		allowance: h.allowance, detection: h.detection,
+		events:  make(chan controlEvent, loopQueue),
+		members: member.NewController(self, incarnation),
+		configs: gossip.NewController(),
+	}
+	loop.view.Store(&member.View{})
+	loop.stamp.Store(&gossip.Stamp{})
+	return loop
+}
+
+// Snapshot implements proxy.Snapshots. It returns nil until the VM is ready.
+func (l *controlLoop) Snapshot() ferry.Snapshot {
+	if view := l.snapshot.Load(); view != nil {
+		return view
+	}
+	return nil
+}
+
+// post hands an event to the loop. It waits while the queue is full.
+func (l *controlLoop) post(ctx context.Context, event controlEvent) {
+	select {
+	case l.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// run owns the controllers until ctx ends.
+func (l *controlLoop) run(ctx context.Context) error {
+	ticker := time.NewTicker(controlTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-l.events:
+			l.handle(ctx, event)
+		case <-ticker.C:
+			l.stepMember(ctx, member.TickEvent{})
+			l.stepGossip(ctx, gossip.TickEvent{})
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (l *controlLoop) handle(ctx context.Context, event controlEvent) {
+	if event.member != nil {
+		if _, isLeave := event.member.(member.LeaveEvent); isLeave {
+			l.leaving = true
+		}
+		l.stepMember(ctx, event.member)
+	}
+	if event.gossip != nil {
+		l.stepGossip(ctx, event.gossip)
+	}
+	if event.inbound != nil {
+		l.receive(ctx, *event.inbound)
+	}
+}
+
+// receive handles the messages of other VMs.
+func (l *controlLoop) receive(ctx context.Context, inbound peer.Inbound) {
+	switch message := inbound.Message.(type) {
+	case peer.Hello:
+		l.stepMember(ctx, member.HelloEvent{VM: message.VM, Incarnation: message.Incarnation})
+	case peer.Beat:
+		l.stepMember(ctx, member.BeatEvent{
+			From: inbound.From.VM, Incarnation: inbound.From.Incarnation,
+			Sequence: message.Sequence, Echo: message.Echo, EchoIncarnation: message.EchoIncarnation,
+			Ready: message.Ready, Leaving: message.Leaving,
+		})
+		l.stepGossip(ctx, gossip.PeerEvent{From: inbound.From.VM, Stamp: message.Stamp, Ready: message.Ready})
+	case peer.Fetch:
+		body := l.configs.Value(message.Name)
+		l.mesh.Send(inbound.From.VM, peer.Value{Name: message.Name, Body: body, Found: body != nil})
+	case peer.Value:
+		source := gossip.Source(inbound.From.VM)
+		switch {
+		case !message.Found:
+			l.stepGossip(ctx, gossip.MissingEvent{From: source, Name: message.Name})
+		case message.Name == conf.ManifestName:
+			l.stepGossip(ctx, gossip.ManifestEvent{From: source, Body: message.Body})
+		default:
+			l.stepGossip(ctx, gossip.PartEvent{Name: message.Name, Body: message.Body})
+		}
+	}
+}
+
+func (l *controlLoop) stepMember(ctx context.Context, event member.Event) {
+	now := l.clock.Now()
+	for _, action := range l.members.Step(now, event) {
+		switch action := action.(type) {
+		case member.BeatAction:
+			l.beat(ctx, now, action)
+		case member.ViewAction:
+			l.applyView(ctx, action.View)
+		}
+	}
+}
+
+// beat sends a heartbeat with the facts that every VM tells every other VM.
+func (l *controlLoop) beat(ctx context.Context, now ferry.Moment, action member.BeatAction) {
+	l.detection.post(ctx, detectionEvent{sent: &sentBeat{to: action.To, sequence: action.Sequence, at: now}})
+	ask := l.allowance.currentAsk()
+	l.mesh.Send(action.To, peer.Beat{
+		Sequence: action.Sequence, Echo: action.Echo, EchoIncarnation: action.EchoIncarnation,
+		Stamp: l.configs.Stamp(), Ready: l.configs.IsReady(), Leaving: l.leaving,
+		LeaseSequence: ask.Sequence, LeaseMask: ask.Mask,
+	})
+}
+
+// applyView hands a changed view to everything that depends on it.
+func (l *controlLoop) applyView(ctx context.Context, view member.View) {
+	l.view.Store(&view)
+	l.mesh.SetPeers(ctx, view.Others(l.self.VM))
+	l.isReader.Store(isReader(view, l.self.VM))
+	l.allowance.post(ctx, allowanceEvent{view: &view})
+	l.detection.post(ctx, detectionEvent{view: &view})
+	l.stepGossip(ctx, gossip.ListEvent{Listed: view.Listed, Live: reachable(view, l.self.VM)})
+	l.log.Info("view", slog.Int("listed", view.Listed), slog.Int("up", len(view.Holders())), slog.Int("serving", len(view.Serving())))
+}
+
+func reachable(view member.View, self ferry.VMID) []ferry.VMID {
+	var ids []ferry.VMID
+	for _, m := range view.Members {
+		if m.Up && m.VM.ID != self {
+			ids = append(ids, m.VM.ID)
+		}
+	}
+	return ids
+}
+
+// isReader reports whether this VM watches the platform for its place.
+func isReader(view member.View, self ferry.VMID) bool {
+	var place ferry.PlaceID
+	for _, m := range view.Members {
+		if m.VM.ID == self {
+			place = m.VM.Place
+		}
+	}
+	own, before := xxhash.Sum64String(string(self)), 0
+	for _, m := range view.Members {
+		if m.Up && !m.Leaving && m.VM.Place == place && xxhash.Sum64String(string(m.VM.ID)) > own {
+			before++
+		}
+	}
+	return before < readersPerPlace
+}
+
+func (l *controlLoop) stepGossip(ctx context.Context, event gossip.Event) {
+	for _, action := range l.configs.Step(l.clock.Now(), event) {
+		switch action := action.(type) {
+		case gossip.FetchAction:
+			l.fetch(ctx, action)
+		case gossip.ApplyAction:
+			l.apply(ctx, action)
+		case gossip.RejectAction:
+			l.rejected.Store(&action)
+			l.log.Error("configuration rejected", slog.String("stamp", action.Stamp.String()),
+				slog.String("from", string(action.From)), slog.String("error", action.Err.Error()))
+		case gossip.ReadyAction:
+			l.members.SetReady(true)
+			l.snapshot.Store(l.pending)
+			l.log.Info("ready", slog.String("stamp", l.configs.Stamp().String()))
+			l.stepMember(ctx, member.TickEvent{})
+		}
+	}
+}
+
+// fetch reads a value from the platform or asks another VM for it.
+func (l *controlLoop) fetch(ctx context.Context, action gossip.FetchAction) {
+	if action.From != "" {
+		l.mesh.Send(ferry.VMID(action.From), peer.Fetch{Name: action.Name})
+		return
+	}
+	go func() {
+		value, err := l.store.Watch(ctx, action.Name, 0)
+		if err != nil {
+			l.log.Warn("part not read", slog.String("name", action.Name), slog.Any("error", err))
+			l.post(ctx, controlEvent{gossip: gossip.MissingEvent{From: action.From, Name: action.Name}})
+			return
+		}
+		l.post(ctx, controlEvent{gossip: gossip.PartEvent{Name: action.Name, Body: value.Body}})
+	}()
+}
+
+// apply takes an inventory into use. Requests see it once the VM is ready.
+func (l *controlLoop) apply(ctx context.Context, action gossip.ApplyAction) {
+	l.pending = conf.NewView(action.Inventory)
+	stamp := action.Stamp
+	l.stamp.Store(&stamp)
+	l.allowance.post(ctx, allowanceEvent{inventory: action.Inventory})
+	l.detection.post(ctx, detectionEvent{inventory: action.Inventory})
+	if l.configs.IsReady() {
+		l.snapshot.Store(l.pending)
+	}
+	l.log.Info("configuration in force", slog.String("stamp", stamp.String()),
+		slog.Int("accounts", len(action.Inventory.Accounts)), slog.Int("targets", len(action.Inventory.Targets)))
+}
+
+// watch follows one value of the platform: as a reader by watching, otherwise
+// by slow polls.
+func (l *controlLoop) watch(ctx context.Context, name string, take func(ferry.Value)) error {
+	var version uint64
+	for ctx.Err() == nil {
+		after := version
+		if !l.isReader.Load() {
+			after = 0
+		}
+		value, err := l.store.Watch(ctx, name, after)
+		pause := time.Duration(0)
+		switch {
+		case err != nil:
+			pause = failurePause
+			if !errors.Is(err, store.ErrNoValue) && ctx.Err() == nil {
+				l.log.Warn("platform not read", slog.String("name", name), slog.Any("error", err))
+			}
+		case value.Version != version:
+			version = value.Version
+			take(value)
+		}
+		if pause == 0 && !l.isReader.Load() {
+			pause = pollInterval
+		}
+		l.pauseOrReader(ctx, pause)
+	}
+	return nil
+}
+
+// pauseOrReader waits for the given time. It returns early when the VM becomes
+// a reader during a long pause.
+func (l *controlLoop) pauseOrReader(ctx context.Context, pause time.Duration) {
+	wasReader := l.isReader.Load()
+	deadline := time.Now().Add(pause)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if pause > failurePause && !wasReader && l.isReader.Load() {
+			return
+		}
+		select {
+		case <-time.After(min(controlTick, time.Until(deadline))):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// takeManifest hands a manifest of the platform to the loop.
+func (l *controlLoop) takeManifest(ctx context.Context) func(ferry.Value) {
+	return func(value ferry.Value) {
+		l.post(ctx, controlEvent{gossip: gossip.ManifestEvent{Body: value.Body}})
+	}
+}
+
+// takeList hands the platform's list of VMs to the loop. A list that is not
+// acceptable or older than the last is dropped.
+func (l *controlLoop) takeList(ctx context.Context) func(ferry.Value) {
+	var last uint64
+	return func(value ferry.Value) {
+		list, err := conf.ParseVMList(value.Body)
+		if err != nil {
+			l.log.Error("list of VMs rejected", slog.Any("error", err))
+			return
+		}
+		if list.Version < last {
+			l.log.Warn("old list of VMs ignored", slog.Uint64("version", list.Version))
+			return
+		}
+		last = list.Version
+		list.VMs = slices.Clone(list.VMs)
+		l.post(ctx, controlEvent{member: member.ListEvent{List: list}})
+	}
+}
--- /dev/null
+++ b/host/detect.go
@@ -0,0 +1,368 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/health"
+	"monsoonferry.org/ferry/limit"
+	"monsoonferry.org/ferry/member"
+	"monsoonferry.org/ferry/peer"
+	"monsoonferry.org/ferry/route"
+)
+
+const (
+	// reportInterval is the time between two reports of evidence.
+	reportInterval = 100 * time.Millisecond
+	// decideInterval is the time between two broadcasts of decisions that did
+	// not change.
+	decideInterval = 500 * time.Millisecond
+	// ejectionBacking is the time for which leases must back an ejection. The
+	// published right is up to askInterval old.
+	ejectionBacking = health.EjectionLife + askInterval
+	// suspectWeight is the weight of a target that is suspected but in use.
+	suspectWeight = 0.1
+	// coldWeight is the weight with which a slow start begins.
+	coldWeight = 0.1
+)
+
+// sentBeat is a heartbeat that was sent to another VM.
+type sentBeat struct {
+	to       ferry.VMID
+	sequence uint64
+	at       ferry.Moment
+}
+
+// seen is the result of an attempt.
+type seen struct {
+	target   ferry.TargetID
+	place    ferry.PlaceID
+	result   ferry.Result
+	observed ferry.Moment
+}
+
+// detectionEvent is an input of the detection loop.
+type detectionEvent struct {
+	inventory *ferry.Inventory
+	view      *member.View
+	inbound   *peer.Inbound
+	sent      *sentBeat
+	seen      *seen
+}
+
+// heardBeat is the last heartbeat from another process.
+type heardBeat struct {
+	incarnation uint64
+	sequence    uint64
+}
+
+// detectionLoop owns evidence and ejections.
+type detectionLoop struct {
+	self      ferry.VM
+	clock     ferry.Clock
+	log       *slog.Logger
+	mesh      *peer.Mesh
+	allowance *allowanceLoop
+	picker    *route.Picker
+	events    chan detectionEvent
+
+	detector  *health.Detector
+	follower  *health.Follower
+	ejectors  map[ferry.ServiceID]*health.Ejector
+	decided   map[ferry.ServiceID]bool
+	inventory *ferry.Inventory
+	regions   map[ferry.PlaceID]ferry.RegionID
+	view      member.View
+	places    map[ferry.VMID]ferry.PlaceID
+	heard     map[ferry.VMID]heardBeat
+	stages    map[ferry.TargetID]health.Stage
+	weighted  map[ferry.TargetID]bool
+	sentAt    ferry.Moment
+
+	current atomic.Pointer[[]health.Ejection]
+	scores  atomic.Pointer[map[ferry.TargetID]health.Score]
+	lost    atomic.Uint64
+	ejected atomic.Uint64
+}
+
+func newDetectionLoop(self ferry.VM, clock ferry.Clock, log *slog.Logger, mesh *peer.Mesh, allowance *allowanceLoop, picker *route.Picker) *detectionLoop {
+	loop := &detectionLoop{
+		self: self, clock: clock, log: log, mesh: mesh, allowance: allowance, picker: picker,
+		events:   make(chan detectionEvent, loopQueue),
+		detector: health.NewDetector(self.Place),
+		follower: health.NewFollower(self.Place),
+		ejectors: map[ferry.ServiceID]*health.Ejector{},
+		decided:  map[ferry.ServiceID]bool{},
+		places:   map[ferry.VMID]ferry.PlaceID{},
+		heard:    map[ferry.VMID]heardBeat{},
+		stages:   map[ferry.TargetID]health.Stage{},
+		weighted: map[ferry.TargetID]bool{},
+	}
+	loop.current.Store(&[]health.Ejection{})
+	loop.scores.Store(&map[ferry.TargetID]health.Score{})
+	return loop
+}
+
+// Observe implements ferry.Observer. It never waits; evidence that finds the
+// queue full is dropped and counted.
+func (l *detectionLoop) Observe(now ferry.Moment, target *ferry.Target, result ferry.Result) {
+	event := detectionEvent{seen: &seen{target: target.ID, place: target.Place, result: result, observed: now}}
+	select {
+	case l.events <- event:
+	default:
+		l.lost.Add(1)
+	}
+}
+
+// post hands an event to the loop. It waits while the queue is full.
+func (l *detectionLoop) post(ctx context.Context, event detectionEvent) {
+	select {
+	case l.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// run owns detector and ejectors until ctx ends.
+func (l *detectionLoop) run(ctx context.Context) error {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-l.events:
+			l.handle(event)
+		case <-ticker.C:
+			l.tick()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (l *detectionLoop) handle(event detectionEvent) {
+	now := l.clock.Now()
+	switch {
+	case event.seen != nil:
+		l.detector.Observe(now, event.seen.target, l.distance(event.seen.place), event.seen.result)
+	case event.sent != nil:
+		l.follower.Sent(event.sent.at, event.sent.to, event.sent.sequence)
+	case event.inbound != nil:
+		l.receive(now, *event.inbound)
+	case event.view != nil:
+		l.view = *event.view
+		clear(l.places)
+		for _, m := range l.view.Members {
+			l.places[m.VM.ID] = m.VM.Place
+		}
+	case event.inventory != nil:
+		l.apply(event.inventory)
+	}
+}
+
+func (l *detectionLoop) apply(inventory *ferry.Inventory) {
+	l.inventory = inventory
+	l.regions = map[ferry.PlaceID]ferry.RegionID{}
+	for _, place := range inventory.Places {
+		l.regions[place.ID] = place.Region
+	}
+	l.detector.Apply(inventory)
+	l.picker.Apply(inventory)
+	ejectors := map[ferry.ServiceID]*health.Ejector{}
+	for _, service := range inventory.Services {
+		ejector := l.ejectors[service.ID]
+		if ejector == nil {
+			ejector = health.NewEjector()
+		}
+		ejector.Apply(service, l.targetsOf(service.ID))
+		ejectors[service.ID] = ejector
+	}
+	l.ejectors = ejectors
+}
+
+func (l *detectionLoop) targetsOf(id ferry.ServiceID) []*ferry.Target {
+	var targets []*ferry.Target
+	for i := range l.inventory.Targets {
+		if l.inventory.Targets[i].Service == id {
+			targets = append(targets, &l.inventory.Targets[i])
+		}
+	}
+	return targets
+}
+
+// Distances of targets for the comparison of latencies.
+const (
+	distancePlace health.Distance = iota
+	distanceRegion
+	distanceRemote
+)
+
+func (l *detectionLoop) distance(place ferry.PlaceID) health.Distance {
+	switch {
+	case place == l.self.Place:
+		return distancePlace
+	case l.regions[place] == l.regions[l.self.Place]:
+		return distanceRegion
+	default:
+		return distanceRemote
+	}
+}
+
+// receive handles the messages of other VMs.
+func (l *detectionLoop) receive(now ferry.Moment, inbound peer.Inbound) {
+	switch message := inbound.Message.(type) {
+	case peer.Beat:
+		l.heard[inbound.From.VM] = heardBeat{incarnation: inbound.From.Incarnation, sequence: message.Sequence}
+	case peer.Evidence:
+		if place, ok := l.places[inbound.From.VM]; ok {
+			l.detector.Merge(now, place, message.Increments)
+		}
+		if message.Echo > 0 && message.EchoIncarnation == l.allowance.self.Incarnation {
+			l.follower.Obey(now, inbound.From.VM, message.Echo, message.Ejections)
+			l.applyEjections(now)
+		}
+	}
+}
+
+// tick reports evidence, decides about the services that this VM decides
+// about, and applies the ejections in force.
+func (l *detectionLoop) tick() {
+	if l.inventory == nil {
+		return
+	}
+	now := l.clock.Now()
+	report := l.detector.Report(now)
+	ejections, isDecider, changed := l.decide(now)
+	if isDecider {
+		l.follower.ObeyFrom(now, l.self.ID, now, ejections)
+	}
+	due := isDecider && (changed || (len(ejections) > 0 && now.Since(l.sentAt) >= decideInterval))
+	if due {
+		l.sentAt = now
+	}
+	if len(report) > 0 || due {
+		l.broadcast(report, ejections, due)
+	}
+	l.applyEjections(now)
+}
+
+// decide returns the ejections of all services that this VM decides about.
+func (l *detectionLoop) decide(now ferry.Moment) (ejections []health.Ejection, isDecider, changed bool) {
+	before := l.stagesOf(now)
+	for _, service := range l.inventory.Services {
+		right := l.allowance.right(limit.ServiceShardOf(service.ID))
+		ejector := l.ejectors[service.ID]
+		if right == 0 {
+			l.decided[service.ID] = false
+			continue
+		}
+		if !l.decided[service.ID] {
+			ejector.Adopt(now, l.follower.Last(now, l.targetsOf(service.ID)))
+			l.decided[service.ID] = true
+		}
+		isDecider = true
+		ejections = append(ejections, ejector.Decide(now, l.detector, right)...)
+	}
+	for _, ejection := range ejections {
+		stage, ok := before[ejection.Target]
+		changed = changed || !ok || stage != ejection.Stage
+	}
+	return ejections, isDecider, changed || len(ejections) != len(before)
+}
+
+// stagesOf returns the stages that this VM decided last.
+func (l *detectionLoop) stagesOf(now ferry.Moment) map[ferry.TargetID]health.Stage {
+	stages := map[ferry.TargetID]health.Stage{}
+	for _, ejection := range l.follower.From(now, l.self.ID) {
+		stages[ejection.Target] = ejection.Stage
+	}
+	return stages
+}
+
+func (l *detectionLoop) broadcast(report []health.Increment, ejections []health.Ejection, due bool) {
+	for _, m := range l.view.Members {
+		if m.VM.ID == l.self.ID {
+			continue
+		}
+		evidence := peer.Evidence{Increments: report}
+		if due {
+			heard := l.heard[m.VM.ID]
+			evidence.Ejections, evidence.Echo, evidence.EchoIncarnation = ejections, heard.sequence, heard.incarnation
+		}
+		l.mesh.Send(m.VM.ID, evidence)
+	}
+}
+
+// applyEjections publishes the state of every target to the picker.
+func (l *detectionLoop) applyEjections(now ferry.Moment) {
+	if l.inventory == nil {
+		return
+	}
+	current := l.follower.Current(now)
+	l.current.Store(&current)
+	stages := map[ferry.TargetID]health.Stage{}
+	for _, ejection := range current {
+		stages[ejection.Target] = ejection.Stage
+		l.picker.SetStatus(ejection.Target, statusOf(ejection))
+		if old, ok := l.stages[ejection.Target]; !ok || old != ejection.Stage {
+			l.logStage(ejection)
+		}
+	}
+	for target := range l.stages {
+		if _, ok := stages[target]; !ok {
+			l.picker.SetStatus(target, route.Status{})
+			l.log.Info("target in full use", slog.String("target", string(target)))
+		}
+	}
+	l.stages = stages
+	l.weigh(now, stages)
+}
+
+func (l *detectionLoop) logStage(ejection health.Ejection) {
+	if ejection.Stage == health.StageEjected {
+		l.ejected.Add(1)
+	}
+	l.log.Info("target stage", slog.String("target", string(ejection.Target)), slog.String("stage", ejection.Stage.String()),
+		slog.String("place", string(ejection.Place)), slog.Int("relapses", ejection.Relapses))
+}
+
+// weigh lowers the weight of suspected targets that are not ejected.
+func (l *detectionLoop) weigh(now ferry.Moment, stages map[ferry.TargetID]health.Stage) {
+	weighted := map[ferry.TargetID]bool{}
+	scores := map[ferry.TargetID]health.Score{}
+	for _, service := range l.inventory.Services {
+		for _, suspect := range l.detector.Suspects(now, service.ID) {
+			id := suspect.Target.ID
+			scores[id] = l.detector.Score(id, l.self.Place)
+			if _, decided := stages[id]; decided || (suspect.Place != "" && suspect.Place != l.self.Place) {
+				continue
+			}
+			weighted[id] = true
+			if !l.weighted[id] {
+				l.picker.SetStatus(id, route.Status{Weight: suspectWeight})
+				l.log.Info("target suspected", slog.String("target", string(id)), slog.Float64("excess", suspect.Excess),
+					slog.Float64("share", suspect.Share), slog.String("place", string(suspect.Place)))
+			}
+		}
+	}
+	for id := range l.weighted {
+		if _, decided := stages[id]; !weighted[id] && !decided {
+			l.picker.SetStatus(id, route.Status{})
+		}
+	}
+	l.weighted = weighted
+	l.scores.Store(&scores)
+}
+
+func statusOf(ejection health.Ejection) route.Status {
+	switch ejection.Stage {
+	case health.StageEjected:
+		return route.Status{Ejected: true}
+	case health.StageTrial:
+		return route.Status{Trial: true}
+	default:
+		progress := float64(ejection.Age) / float64(health.SlowStart)
+		return route.Status{Weight: coldWeight + (1-coldWeight)*min(1, progress)}
+	}
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,228 @@
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/auth"
+	"monsoonferry.org/ferry/cert"
+	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/limit"
+	"monsoonferry.org/ferry/member"
+	"monsoonferry.org/ferry/peer"
+	"monsoonferry.org/ferry/proxy"
+	"monsoonferry.org/ferry/queue"
+	"monsoonferry.org/ferry/retry"
+	"monsoonferry.org/ferry/route"
+)
+
+// Host is one VM of the fleet.
+type Host struct {
+	settings conf.Settings
+	clock    ferry.Clock
+	log      *slog.Logger
+	level    *slog.LevelVar
+	store    ferry.Store
+	metrics  *metrics.Set
+	mesh     *peer.Mesh
+	callers  *callers
+	waiting  *queue.Fair
+
+	control   *controlLoop
+	allowance *allowanceLoop
+	detection *detectionLoop
+	drain     chan struct{}
+	callerTLS *cert.Source
+}
+
+// New assembles a host. It returns an error when the credentials cannot be
+// read.
+func New(settings conf.Settings, clock ferry.Clock, logger Logger, store ferry.Store, set *metrics.Set) (h *Host, err error) {
+	h = &Host{
+		settings: settings, clock: clock, log: logger.Log, level: logger.Level, store: store, metrics: set,
+		drain: make(chan struct{}, 1),
+	}
+	if h.callerTLS, err = cert.Load(settings.CallerTLS); err != nil {
+		return nil, err
+	}
+	var peerTLS *cert.Source
+	if peerTLS, err = cert.Load(settings.PeerTLS); err != nil {
+		return nil, err
+	}
+	self := ferry.VM{
+		ID: settings.ID, Place: settings.Place,
+		Callers: settings.Callers, Peers: settings.Peers, Admin: settings.Admin,
+	}
+	incarnation := newIncarnation()
+	dial, serve := peerTLS.PeerConfigs()
+	h.mesh = peer.NewMesh(peer.Config{Self: self, Incarnation: incarnation, DialTLS: dial, ServeTLS: serve, Log: h.log})
+	picker := route.NewPicker(settings.Place)
+	h.allowance = newAllowanceLoop(limit.Process{VM: self.ID, Incarnation: incarnation}, clock, h.log, h.mesh)
+	h.detection = newDetectionLoop(self, clock, h.log, h.mesh, h.allowance, picker)
+	h.control = newControlLoop(self, incarnation, h)
+	h.assemblePath(picker)
+	h.registerMetrics()
+	return h, nil
+}
+
+// assemblePath builds the filter chain of the request path.
+func (h *Host) assemblePath(picker *route.Picker) {
+	counters := proxy.NewMetrics(h.metrics)
+	h.waiting = queue.NewFair(picker, h.clock)
+	forwarder := proxy.NewForwarder(proxy.Config{
+		Queue: h.waiting, Limiter: h.allowance.pools, Observer: h.detection, Snapshots: h.control,
+		Budgets: &retry.Set{}, Clock: h.clock, Log: h.log, Metrics: counters,
+	})
+	chain := ferry.Chain(forwarder,
+		proxy.RouteFilter{}, auth.Filter{}, proxy.BodyFilter{},
+		proxy.LimitFilter{Limiter: h.allowance.pools, Clock: h.clock})
+	server := proxy.NewServer(chain, h.control, h.clock, newRequestID, h.log, counters)
+	h.callers = newCallers(h.settings.Place, server, h.control)
+}
+
+// newIncarnation returns a number that no earlier process of the VM had.
+func newIncarnation() uint64 {
+	var raw [8]byte
+	// Read never fails on the supported systems.
+	_, _ = rand.Read(raw[:])
+	return binary.BigEndian.Uint64(raw[:]) | 1
+}
+
+// newRequestID returns a new request identifier.
+func newRequestID() string {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// Run serves until ctx ends or a planned stop is complete.
+func (h *Host) Run(ctx context.Context) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var peers, callers, admins net.Listener
+	if peers, err = listen(ctx, h.settings.Peers.String()); err != nil {
+		return err
+	}
+	if callers, err = listen(ctx, h.settings.Callers.String()); err != nil {
+		return err
+	}
+	if admins, err = listen(ctx, h.settings.Admin.String()); err != nil {
+		return err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return h.mesh.Serve(groupCtx, peers) })
+	group.Go(func() error { return h.control.run(groupCtx) })
+	group.Go(func() error { return h.allowance.run(groupCtx) })
+	group.Go(func() error { return h.detection.run(groupCtx) })
+	group.Go(func() error { return h.dispatch(groupCtx) })
+	group.Go(func() error {
+		return h.control.watch(groupCtx, conf.VMListName, h.control.takeList(groupCtx))
+	})
+	group.Go(func() error {
+		return h.control.watch(groupCtx, conf.ManifestName, h.control.takeManifest(groupCtx))
+	})
+	group.Go(func() error { return h.pollQueue(groupCtx) })
+	group.Go(func() error { return h.serveAdmin(groupCtx, admins) })
+	group.Go(func() error { return h.callers.serve(groupCtx, callers, h.callerTLS.CallerConfig()) })
+	group.Go(func() error {
+		// The end of a planned stop ends everything else.
+		defer cancel()
+		return h.awaitDrain(groupCtx)
+	})
+	h.log.Info("serving", slog.String("callers", callers.Addr().String()), slog.String("peers", peers.Addr().String()))
+	return group.Wait()
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return listener, nil
+}
+
+// dispatch routes the messages of other VMs to the loops.
+func (h *Host) dispatch(ctx context.Context) error {
+	for {
+		inbound, err := h.mesh.Next(ctx)
+		if err != nil {
+			return nil //nolint:nilerr // The end of ctx is the normal end.
+		}
+		switch inbound.Message.(type) {
+		case peer.Hello, peer.Fetch, peer.Value:
+			h.control.post(ctx, controlEvent{inbound: &inbound})
+		case peer.Beat:
+			h.control.post(ctx, controlEvent{inbound: &inbound})
+			h.allowance.post(ctx, allowanceEvent{inbound: &inbound})
+			h.detection.post(ctx, detectionEvent{inbound: &inbound})
+		case peer.Evidence:
+			h.detection.post(ctx, detectionEvent{inbound: &inbound})
+		default:
+			h.allowance.post(ctx, allowanceEvent{inbound: &inbound})
+		}
+	}
+}
+
+// queueTick is the time between two looks for targets that became free.
+const queueTick = 5 * time.Millisecond
+
+func (h *Host) pollQueue(ctx context.Context) error {
+	ticker := time.NewTicker(queueTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			h.waiting.Poll()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Drain starts the planned stop. Later calls have no effect.
+func (h *Host) Drain() {
+	select {
+	case h.drain <- struct{}{}:
+	default:
+	}
+}
+
+// awaitDrain carries out a planned stop when one is asked for.
+func (h *Host) awaitDrain(ctx context.Context) error {
+	select {
+	case <-h.drain:
+	case <-ctx.Done():
+		return nil
+	}
+	h.log.Info("planned stop begun")
+	h.control.post(ctx, controlEvent{member: member.LeaveEvent{}})
+	h.allowance.post(ctx, allowanceEvent{leave: true})
+	h.callers.beginDrain(h.clock.Now())
+	ticker := time.NewTicker(controlTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if h.callers.isDrained(h.clock.Now()) {
+				h.log.Info("planned stop complete")
+				return nil
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Snapshot returns the configuration that requests see, or nil.
+func (h *Host) Snapshot() ferry.Snapshot { return h.control.Snapshot() }
--- /dev/null
+++ b/host/log.go
@@ -0,0 +1,26 @@
+package host
+
+import (
+	"io"
+	"log/slog"
+
+	"monsoonferry.org/ferry/conf"
+)
+
+// Logger is a log whose level can be changed.
+type Logger struct {
+	Log   *slog.Logger
+	Level *slog.LevelVar
+}
+
+// NewLogger returns the log that the settings describe.
+func NewLogger(settings conf.Settings, w io.Writer) Logger {
+	level := &slog.LevelVar{}
+	level.Set(settings.LogLevel)
+	options := &slog.HandlerOptions{Level: level}
+	var handler slog.Handler = slog.NewTextHandler(w, options)
+	if settings.LogFormat == conf.LogJSON {
+		handler = slog.NewJSONHandler(w, options)
+	}
+	return Logger{Log: slog.New(handler).With(slog.String("vm", string(settings.ID))), Level: level}
+}
--- /dev/null
+++ b/load/entry.go
@@ -0,0 +1,89 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+)
+
+// directory keeps the entry answer of one caller.
+type directory struct {
+	seeds  []netip.AddrPort
+	caller string
+	client *http.Client
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	list    []string
+	expires time.Time
+}
+
+// entryAnswer is the answer of a VM to the question for addresses.
+type entryAnswer struct {
+	Addresses       []string
+	LifetimeSeconds float64
+}
+
+// entryTimeout bounds one question for addresses.
+const entryTimeout = time.Second
+
+// addresses returns the addresses to use, in order.
+func (d *directory) addresses(ctx context.Context) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if time.Now().Before(d.expires) {
+		return d.list
+	}
+	candidates := append([]string{}, d.list...)
+	for _, i := range d.random.Perm(len(d.seeds)) {
+		candidates = append(candidates, d.seeds[i].String())
+	}
+	for _, address := range candidates {
+		if answer, err := d.ask(ctx, address); err == nil {
+			d.list = answer.Addresses
+			d.expires = time.Now().Add(time.Duration(answer.LifetimeSeconds * float64(time.Second)))
+			return d.list
+		}
+	}
+	return d.list
+}
+
+// drop ends the lifetime of the answer, because an address did not connect.
+func (d *directory) drop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expires = time.Time{}
+}
+
+func (d *directory) ask(ctx context.Context, address string) (answer entryAnswer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	target := "http://" + address + "/.ferry/entry?Caller=" + url.QueryEscape(d.caller)
+	var request *http.Request
+	if request, err = http.NewRequestWithContext(ctx, http.MethodGet, target, nil); err != nil {
+		return answer, err
+	}
+	var response *http.Response
+	if response, err = d.client.Do(request); err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return answer, errors.New("the VM gives no addresses")
+	}
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer, err
+}
+
+// isDialError reports whether no connection came about.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,185 @@
+// Package load sends requests to a fleet as its callers would, and measures
+// what comes back.
+//
+// # Concept
+//
+// Each client account has several callers. A caller asks a VM for addresses,
+// keeps the answer for its lifetime and sends requests at random times, without
+// waiting for earlier ones. When a VM cannot be reached, the caller goes on to
+// the next address of the answer.
+//
+// # Usage
+//
+//	report, err := load.Run(ctx, load.Plan{Seeds: addresses, Accounts: accounts, Duration: time.Minute})
+package load
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"monsoonferry.org/ferry"
+)
+
+// Account is the traffic of one client account.
+type Account struct {
+	ID  string
+	Key string
+	// Rate is the number of requests per second.
+	Rate float64
+	// Method and Path are those of each request.
+	Method string
+	Path   string
+	// BodyBytes is the size of each request body.
+	BodyBytes int
+}
+
+// Plan describes a run.
+type Plan struct {
+	// Seeds are addresses of VMs that answer entry questions.
+	Seeds    []netip.AddrPort
+	Accounts []Account
+	Duration time.Duration
+	Seed     uint64
+}
+
+// Result is one request as its caller saw it.
+type Result struct {
+	Account string
+	// ID is the request identifier, when the fleet gave one.
+	ID      string
+	At      time.Duration
+	Latency time.Duration
+	// Status is the HTTP status, or 0 when no answer came.
+	Status  int
+	Reason  string
+	Outcome string
+	// Whole reports that the answer arrived complete.
+	Whole bool
+	// Addresses is the number of VMs that were tried.
+	Addresses int
+}
+
+// Report sums up a run.
+type Report struct {
+	Results []Result
+	// Latency holds the latencies of good answers in microseconds.
+	Latency *hdrhistogram.Histogram
+}
+
+// Bounds of the callers.
+const (
+	requestTimeout = 10 * time.Second
+	maxLatency     = 60 * time.Second
+	significant    = 3
+	connsPerHost   = 64
+)
+
+// Run sends the traffic of the plan until its duration is over.
+func Run(ctx context.Context, plan Plan) *Report {
+	ctx, cancel := context.WithTimeout(ctx, plan.Duration)
+	defer cancel()
+	r := &runner{
+		plan: plan, start: time.Now(),
+		client: &http.Client{
+			Timeout:   requestTimeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: connsPerHost, DisableCompression: true},
+		},
+		report: Report{Latency: hdrhistogram.New(1, maxLatency.Microseconds(), significant)},
+	}
+	var group sync.WaitGroup
+	for i, account := range plan.Accounts {
+		random := rand.New(rand.NewPCG(plan.Seed, uint64(i)))
+		group.Go(func() { r.runAccount(ctx, account, random) })
+	}
+	group.Wait()
+	r.client.CloseIdleConnections()
+	return &r.report
+}
+
+// runner is the state of a run.
+type runner struct {
+	plan   Plan
+	start  time.Time
+	client *http.Client
+
+	mu     sync.Mutex
+	report Report
+}
+
+// runAccount sends the requests of one account at random times.
+func (r *runner) runAccount(ctx context.Context, account Account, random *rand.Rand) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	directory := &directory{seeds: r.plan.Seeds, caller: account.ID, client: r.client, random: random}
+	next := time.Now()
+	for {
+		next = next.Add(time.Duration(random.ExpFloat64() / account.Rate * float64(time.Second)))
+		select {
+		case <-time.After(time.Until(next)):
+		case <-ctx.Done():
+			return
+		}
+		group.Go(func() { r.record(r.send(account, directory)) })
+	}
+}
+
+// send makes one request and tries further addresses while none is connected.
+func (r *runner) send(account Account, directory *directory) Result {
+	result := Result{Account: account.ID, At: time.Since(r.start)}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	for _, address := range directory.addresses(ctx) {
+		result.Addresses++
+		isConnected := r.try(ctx, account, address, &result)
+		if isConnected {
+			break
+		}
+		directory.drop()
+	}
+	result.Latency = time.Since(began)
+	return result
+}
+
+// try makes the request at one address. It reports false when no connection
+// came about, so that another address may be tried.
+func (r *runner) try(ctx context.Context, account Account, address string, result *Result) bool {
+	body := io.Reader(http.NoBody)
+	if account.BodyBytes > 0 {
+		body = strings.NewReader(strings.Repeat("x", account.BodyBytes))
+	}
+	request, err := http.NewRequestWithContext(ctx, account.Method, "http://"+address+account.Path, body)
+	if err != nil {
+		return true
+	}
+	request.Header.Set(ferry.HeaderKey, account.Key)
+	answer, err := r.client.Do(request)
+	if err != nil {
+		return !isDialError(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	_, err = io.Copy(io.Discard, answer.Body)
+	result.Status, result.Whole = answer.StatusCode, err == nil
+	result.ID = answer.Header.Get(ferry.HeaderRequest)
+	result.Reason = answer.Header.Get(ferry.HeaderReason)
+	result.Outcome = answer.Header.Get(ferry.HeaderOutcome)
+	return true
+}
+
+func (r *runner) record(result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Results = append(r.report.Results, result)
+	if result.Status == http.StatusOK && result.Whole {
+		// A latency above the range of the histogram is counted at its end.
+		_ = r.report.Latency.RecordValue(min(result.Latency.Microseconds(), maxLatency.Microseconds()))
+	}
+}
--- /dev/null
+++ b/moment.go
@@ -0,0 +1,51 @@
+package ferry
+
+import "time"
+
+// Moment is one reading of the two clocks of a VM. The zero Moment is the
+// start of the process with an unknown wall clock.
+type Moment struct {
+	// Steady is the monotonic time since the process started. It stands still
+	// while a VM is suspended.
+	Steady time.Duration
+	// Wall is the wall clock. It can be stepped in both directions.
+	Wall time.Time
+}
+
+// Since returns the monotonic time between earlier and m.
+func (m Moment) Since(earlier Moment) time.Duration {
+	return m.Steady - earlier.Steady
+}
+
+// LongestSince returns the time between earlier and m by whichever clock ran
+// further. Holders of a time-limited right use it to decide on expiry.
+func (m Moment) LongestSince(earlier Moment) time.Duration {
+	return max(m.Steady-earlier.Steady, m.Wall.Sub(earlier.Wall))
+}
+
+// Add returns the moment that both clocks reach after d.
+func (m Moment) Add(d time.Duration) Moment {
+	return Moment{Steady: m.Steady + d, Wall: m.Wall.Add(d)}
+}
+
+// Clock gives the current Moment.
+type Clock interface {
+	Now() Moment
+}
+
+// SystemClock reads the clocks of the operating system. Its zero value is
+// not usable; call NewSystemClock.
+type SystemClock struct {
+	start time.Time
+}
+
+// NewSystemClock returns a clock whose steady time starts now.
+func NewSystemClock() SystemClock {
+	return SystemClock{start: time.Now()}
+}
+
+// Now implements Clock.
+func (c SystemClock) Now() Moment {
+	now := time.Now()
+	return Moment{Steady: now.Sub(c.start), Wall: now.Round(0)}
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"monsoonferry.org/ferry"
+)
+
+// link is the sending side towards one VM.
+type link struct {
+	mesh   *Mesh
+	vm     ferry.VM
+	cancel context.CancelFunc
+	small  chan Message
+	values chan Message
+}
+
+// run keeps a session open until ctx ends.
+func (l *link) run(ctx context.Context) {
+	wait := redialMin
+	for ctx.Err() == nil {
+		started := time.Now()
+		if err := l.session(ctx); err != nil && ctx.Err() == nil {
+			l.mesh.config.Log.Debug("peer link down", slog.String("peer", string(l.vm.ID)), slog.Any("error", err))
+		}
+		if time.Since(started) > redialMax {
+			wait = redialMin
+		}
+		select {
+		case <-time.After(wait + rand.N(redialMin)):
+		case <-ctx.Done():
+		}
+		wait = min(2*wait, redialMax)
+	}
+}
+
+// session dials the VM and sends until something fails.
+func (l *link) session(ctx context.Context) (err error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	var conn net.Conn
+	if conn, err = dialer.DialContext(ctx, "tcp", l.vm.Peers.String()); err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if l.mesh.config.DialTLS != nil {
+		conn = tls.Client(conn, l.mesh.config.DialTLS)
+	}
+	var session *yamux.Session
+	if session, err = yamux.Client(countedConn{Conn: conn, mesh: l.mesh}, sessionConfig()); err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = session.Close() }()
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return l.pump(groupCtx, session, l.small) })
+	group.Go(func() error { return l.pump(groupCtx, session, l.values) })
+	group.Go(func() error {
+		select {
+		case <-session.CloseChan():
+			return errors.New("the other side closed the session")
+		case <-groupCtx.Done():
+			return session.Close()
+		}
+	})
+	return group.Wait()
+}
+
+// pump sends the messages of one queue on a stream of its own.
+func (l *link) pump(ctx context.Context, session *yamux.Session, queue <-chan Message) (err error) {
+	var stream *yamux.Stream
+	if stream, err = session.OpenStream(); err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = stream.Close() }()
+	writer := bufio.NewWriter(stream)
+	hello := Hello{VM: l.mesh.config.Self, Incarnation: l.mesh.config.Incarnation}
+	if err = write(writer, hello); err != nil {
+		return err
+	}
+	for {
+		if err = stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return trace.Wrap(err)
+		}
+		if len(queue) == 0 {
+			if err = writer.Flush(); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+		select {
+		case message := <-queue:
+			if err = stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+				return trace.Wrap(err)
+			}
+			if err = write(writer, message); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func write(writer io.Writer, message Message) error {
+	frame, err := encode(message)
+	if err != nil {
+		return err
+	}
+	if _, err = protodelim.MarshalTo(writer, frame); err != nil {
+		return trace.Wrap(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/proxy/server.go
@@ -0,0 +1,99 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"monsoonferry.org/ferry"
+)
+
+// Server is the HTTP handler for callers.
+type Server struct {
+	chain     ferry.Handler
+	snapshots Snapshots
+	clock     ferry.Clock
+	ids       func() string
+	log       *slog.Logger
+	metrics   *Metrics
+}
+
+// NewServer returns a handler that passes requests through the chain. The
+// function ids returns a new request identifier at each call.
+func NewServer(chain ferry.Handler, snapshots Snapshots, clock ferry.Clock, ids func() string, log *slog.Logger, metrics *Metrics) *Server {
+	return &Server{chain: chain, snapshots: snapshots, clock: clock, ids: ids, log: log, metrics: metrics}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	exchange := &ferry.Exchange{
+		Request: request, Writer: writer, ID: s.ids(),
+		Arrived: s.clock.Now(), Snapshot: s.snapshots.Snapshot(),
+	}
+	s.metrics.requests.Inc()
+	err := s.handle(request.Context(), exchange)
+	s.metrics.duration.Update(s.clock.Now().Since(exchange.Arrived).Seconds())
+	if err == nil {
+		return
+	}
+	var refusal *ferry.Refusal
+	if !errors.As(err, &refusal) {
+		s.log.Warn("aborted", slog.String("request", exchange.ID), slog.String("error", trace.UserMessage(err)))
+		panic(http.ErrAbortHandler)
+	}
+	s.refuse(exchange, refusal)
+}
+
+func (s *Server) handle(ctx context.Context, exchange *ferry.Exchange) error {
+	if exchange.Snapshot == nil {
+		return &ferry.Refusal{
+			Status: http.StatusServiceUnavailable, Reason: ferry.ReasonNotReady, Outcome: ferry.OutcomeNotRun,
+			RetryAfter: time.Second, Detail: "the VM has no configuration yet",
+		}
+	}
+	return s.chain.Handle(ctx, exchange)
+}
+
+// refusalDocument is the JSON body of a refusal.
+type refusalDocument struct {
+	Request string
+	Reason  string
+	Outcome string
+	Detail  string
+}
+
+// refuse writes the refusal to the caller and the log.
+func (s *Server) refuse(exchange *ferry.Exchange, refusal *ferry.Refusal) {
+	s.metrics.refusal(refusal)
+	var account ferry.AccountID
+	if exchange.Account != nil {
+		account = exchange.Account.ID
+	}
+	s.log.Info("refused",
+		slog.String("request", exchange.ID), slog.String("account", string(account)),
+		slog.Int("status", refusal.Status), slog.String("reason", string(refusal.Reason)),
+		slog.String("outcome", refusal.Outcome.String()), slog.String("detail", refusal.Detail))
+	header := exchange.Writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(ferry.HeaderRequest, exchange.ID)
+	header.Set(ferry.HeaderOutcome, refusal.Outcome.String())
+	header.Set(ferry.HeaderReason, string(refusal.Reason))
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+	exchange.Writer.WriteHeader(refusal.Status)
+	document := refusalDocument{
+		Request: exchange.ID, Reason: string(refusal.Reason),
+		Outcome: refusal.Outcome.String(), Detail: refusal.Detail,
+	}
+	if err := json.NewEncoder(exchange.Writer).Encode(document); err != nil {
+		s.log.Debug("refusal not delivered", slog.String("request", exchange.ID), slog.Any("error", err))
+	}
+}
