limit: renew leases sooner and let rights to eject live longer

Cause: the decider's right to eject came and went, because a lease of 3 s that is renewed each second never backs an ejection of 1.8 s all the time; and a new holder waited for the next heartbeat before it asked for shares. Ruled out: shorter ejections (they would end between two broadcasts). Change: shards of services have a term of 6 s and ejections live 3 s; a holder asks every VM that has not lent again after 100 ms; every VM forgets what it saw of a target when the target changes its stage. Requests of the killed holder's accounts still suffer for about 3 s.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -70,7 +70,8 @@
 	readyTimeout  = 15 * time.Second
 	trafficTime   = 22 * time.Second
 	grayAt        = 3 * time.Second
-	killAt        = 9 * time.Second
+	killAt        = 8 * time.Second
+	replaceAt     = 10 * time.Second
 	withdrawAt    = 12 * time.Second
 	platformAt    = 16 * time.Second
 	pollInterval  = 50 * time.Millisecond
@@ -136,6 +137,13 @@
 	}
 	f.say("%v: VM %s is killed", killAt, f.vms[vmCount-1].id)
 	f.vms[vmCount-1].kill()
+	if err = at(replaceAt); err != nil {
+		return err
+	}
+	f.say("%v: VM %s is replaced", replaceAt, f.vms[vmCount-1].id)
+	if err = f.launchVM(f.vms[vmCount-1]); err != nil {
+		return err
+	}
 	if err = at(withdrawAt); err != nil {
 		return err
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -141,13 +141,19 @@
 		return err
 	}
 	for _, v := range f.vms {
-		if err = f.launch(&v.process, f.config.Server, "serve", "--settings", f.settingsName(v)); err != nil {
+		if err = f.launchVM(v); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// launchVM starts a VM, also one that was killed.
+func (f *fleet) launchVM(v *vm) error {
+	v.killed.Store(false)
+	return f.launch(&v.process, f.config.Server, "serve", "--settings", f.settingsName(v))
+}
+
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // A port is only looked up.
@@ -160,7 +166,8 @@
 
 // launch starts a program whose log goes to a file.
 func (f *fleet) launch(p *process, program string, args ...string) error {
-	log, err := os.Create(filepath.Join(f.config.Directory, p.id+".log"))
+	name := filepath.Join(f.config.Directory, p.id+".log")
+	log, err := os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -268,10 +275,10 @@
 // times its rate.
 func (f *fleet) traffic() []load.Account {
 	get := func(id string, rate float64) load.Account {
-		return load.Account{ID: id, Key: accountKey(id), Rate: rate, Method: http.MethodGet, Path: "/advice/field"}
+		return load.Account{ID: id, Key: accountKey(id), Rate: rate, Method: http.MethodGet, Path: "/advice/field", Callers: vmCount}
 	}
 	post := func(id string, rate float64) load.Account {
-		return load.Account{ID: id, Key: accountKey(id), Rate: rate, Method: http.MethodPost, Path: "/orders/new", BodyBytes: 200}
+		return load.Account{ID: id, Key: accountKey(id), Rate: rate, Method: http.MethodPost, Path: "/orders/new", BodyBytes: 200, Callers: vmCount}
 	}
 	return []load.Account{
 		get("cooperative-1", 64), get("cooperative-2", 30), get("probes", 48), get("grower", 6),
--- a/entry/doc.go
+++ b/entry/entry.go
@@ -31,6 +31,13 @@
 	answerSize = 4
 )
 
+// ranked is a VM with its place in the order of preference.
+type ranked struct {
+	vm       ferry.VM
+	distance int
+	weight   uint64
+}
+
 // Choose returns the VMs that a caller should use, in order of preference. It
 // returns at most four.
 func Choose(vms []ferry.VM, places []ferry.Place, own ferry.PlaceID, caller string) []ferry.VM {
@@ -38,11 +45,6 @@
 	for _, place := range places {
 		regions[place.ID] = place.Region
 	}
-	type ranked struct {
-		vm       ferry.VM
-		distance int
-		weight   uint64
-	}
 	var order []ranked
 	for _, vm := range vms {
 		if vm.Leaving {
@@ -56,12 +58,24 @@
 		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.weight, a.weight))
 	})
 	chosen := make([]ferry.VM, 0, answerSize)
-	for _, r := range order[:min(answerSize, len(order))] {
-		chosen = append(chosen, r.vm)
+	for i, r := range order {
+		isLast := len(chosen) == answerSize-1
+		// The last address is in another place, in case the own place is lost.
+		if isLast && r.vm.Place == chosen[0].Place && isOtherPlaceAfter(order[i:], r.vm.Place) {
+			continue
+		}
+		if chosen = append(chosen, r.vm); len(chosen) == answerSize {
+			break
+		}
 	}
 	return chosen
 }
 
+// isOtherPlaceAfter reports whether any of the VMs is in another place.
+func isOtherPlaceAfter(order []ranked, place ferry.PlaceID) bool {
+	return slices.ContainsFunc(order, func(r ranked) bool { return r.vm.Place != place })
+}
+
 func distance(place, own ferry.PlaceID, regions map[ferry.PlaceID]ferry.RegionID) int {
 	switch {
 	case place == own:
--- a/health/detector.go
+++ b/health/detector.go
@@ -142,12 +142,9 @@
 	}
 	var shares []float64
 	for _, id := range s.targets {
-		score := d.targets[id].scores[d.place]
-		if score == nil || now.Steady-score.At > recentTime {
-			continue
-		}
-		if total := score.Good + score.Bad; total >= 1 {
-			shares = append(shares, score.Bad/total)
+		good, bad := d.counts(now, id, "")
+		if total := good + bad; total >= 1 {
+			shares = append(shares, bad/total)
 		}
 	}
 	s.baselineAt = now.Steady
@@ -235,16 +232,34 @@
 	return places
 }
 
-// suspectsOf compares the targets of a service as one place sees them.
-func (d *Detector) suspectsOf(now ferry.Moment, s *service, place ferry.PlaceID) []Suspect {
-	var errors, slowness []float64
+// common returns the ratios of the median target, each target taken as the
+// place sees it that sees it best. What all targets have in common is no fault
+// of one of them.
+func (d *Detector) common(now ferry.Moment, s *service) (errors, slowness float64) {
+	var allErrors, allSlowness []float64
 	for _, id := range s.targets {
-		if score := d.targets[id].scores[place]; score != nil && now.Steady-score.At <= recentTime {
-			errors = append(errors, score.Errors)
-			slowness = append(slowness, score.Slowness)
+		isSeen, leastErrors, leastSlowness := false, 0.0, 0.0
+		for _, score := range d.targets[id].scores {
+			if now.Steady-score.At > recentTime {
+				continue
+			}
+			if !isSeen {
+				isSeen, leastErrors, leastSlowness = true, score.Errors, score.Slowness
+			}
+			leastErrors = min(leastErrors, score.Errors)
+			leastSlowness = min(leastSlowness, score.Slowness)
+		}
+		if isSeen {
+			allErrors = append(allErrors, leastErrors)
+			allSlowness = append(allSlowness, leastSlowness)
 		}
 	}
-	commonErrors, commonSlowness := median(errors), median(slowness)
+	return median(allErrors), median(allSlowness)
+}
+
+// suspectsOf compares the targets of a service as one place sees them.
+func (d *Detector) suspectsOf(now ferry.Moment, s *service, place ferry.PlaceID) []Suspect {
+	commonErrors, commonSlowness := d.common(now, s)
 	var suspects []Suspect
 	for _, id := range s.targets {
 		o := d.targets[id]
--- a/health/ejector.go
+++ b/health/ejector.go
@@ -39,7 +39,7 @@
 const (
 	// EjectionLife is the time for which a VM obeys an ejection, counted from
 	// the heartbeat that it had sent to the decider.
-	EjectionLife = 1800 * time.Millisecond
+	EjectionLife = 3 * time.Second
 	// firstEjection is the length of the first ejection; each relapse doubles
 	// it.
 	firstEjection = 3 * time.Second
--- a/host/allow.go
+++ b/host/allow.go
@@ -17,6 +17,8 @@
 	poolTick = 20 * time.Millisecond
 	// askInterval is the time between two asks for shares.
 	askInterval = 500 * time.Millisecond
+	// askAgain is the time after which VMs that have not lent are asked again.
+	askAgain = 100 * time.Millisecond
 	// tidyInterval is the time between two searches for idle buckets.
 	tidyInterval = 10 * time.Second
 )
@@ -154,12 +156,16 @@
 func (l *allowanceLoop) place(now ferry.Moment) {
 	placement := limit.Place(l.view.Holders())
 	lost := l.placement.Held(l.self.VM) &^ placement.Held(l.self.VM) & limit.AccountMask
+	gained := placement.Held(l.self.VM) &^ l.placement.Held(l.self.VM)
 	l.placement = placement
 	l.pools.SetPlacement(placement)
 	if lost != 0 {
 		l.release(now, lost)
 	}
 	l.renew(now)
+	if gained != 0 {
+		l.askMissing(now)
+	}
 }
 
 func (l *allowanceLoop) release(now ferry.Moment, lost limit.Mask) {
@@ -189,8 +195,11 @@
 func (l *allowanceLoop) tick() {
 	now := l.clock.Now()
 	l.pools.Tick(now)
-	if now.Since(l.askedAt) >= askInterval {
+	switch age := now.Since(l.askedAt); {
+	case age >= askInterval:
 		l.renew(now)
+	case age >= askAgain:
+		l.askMissing(now)
 	}
 	if now.Since(l.tidiedAt) >= tidyInterval {
 		l.tidiedAt = now
@@ -198,6 +207,29 @@
 	}
 }
 
+// askMissing asks the VMs that are up and have not lent their share, without
+// waiting for the next heartbeat.
+func (l *allowanceLoop) askMissing(now ferry.Moment) {
+	var others []ferry.VMID
+	for _, m := range l.view.Members {
+		if m.Up {
+			others = append(others, m.VM.ID)
+		}
+	}
+	missing := l.holder.Missing(now, l.placement.Held(l.self.VM), others)
+	if len(missing) == 0 {
+		return
+	}
+	if now.Since(l.askedAt) > 0 {
+		l.renew(now)
+	}
+	for _, id := range missing {
+		if id != l.self.VM {
+			l.mesh.Send(id, l.currentAsk())
+		}
+	}
+}
+
 // publish makes the state of the loop visible to others.
 func (l *allowanceLoop) publish(now ferry.Moment) {
 	usage := AllowanceUsage{Pools: l.pools.Count(), Parts: l.lender.Parts()}
@@ -236,9 +268,10 @@
 	switch message := inbound.Message.(type) {
 	case peer.Beat:
 		if message.LeaseMask != 0 {
-			ask := limit.LeaseAsk{Holder: inbound.From, Sequence: message.LeaseSequence, Mask: message.LeaseMask}
-			l.mesh.Send(inbound.From.VM, l.lender.Lend(now, ask, l.placement))
+			l.lend(now, limit.LeaseAsk{Holder: inbound.From, Sequence: message.LeaseSequence, Mask: message.LeaseMask})
 		}
+	case limit.LeaseAsk:
+		l.lend(now, message)
 	case limit.LeaseAnswer:
 		l.holder.Renew(now, message)
 	case limit.LeaseReturn:
@@ -251,3 +284,7 @@
 		l.pools.Answer(now, message)
 	}
 }
+
+func (l *allowanceLoop) lend(now ferry.Moment, ask limit.LeaseAsk) {
+	l.mesh.Send(ask.Holder.VM, l.lender.Lend(now, ask, l.placement))
+}
--- a/host/detect.go
+++ b/host/detect.go
@@ -306,7 +306,7 @@
 		stages[ejection.Target] = ejection.Stage
 		l.picker.SetStatus(ejection.Target, statusOf(ejection))
 		if old, ok := l.stages[ejection.Target]; !ok || old != ejection.Stage {
-			l.logStage(ejection)
+			l.enterStage(ejection)
 		}
 	}
 	for target := range l.stages {
@@ -319,7 +319,12 @@
 	l.weigh(now, stages)
 }
 
-func (l *detectionLoop) logStage(ejection health.Ejection) {
+// enterStage forgets what was seen of the target in its stage before.
+func (l *detectionLoop) enterStage(ejection health.Ejection) {
+	if !l.decided[l.serviceOf(ejection.Target)] {
+		// The decider has done so when it decided.
+		l.detector.Reset(ejection.Target)
+	}
 	if ejection.Stage == health.StageEjected {
 		l.ejected.Add(1)
 	}
@@ -327,6 +332,15 @@
 		slog.String("place", string(ejection.Place)), slog.Int("relapses", ejection.Relapses))
 }
 
+func (l *detectionLoop) serviceOf(id ferry.TargetID) ferry.ServiceID {
+	for _, target := range l.inventory.Targets {
+		if target.ID == id {
+			return target.Service
+		}
+	}
+	return ""
+}
+
 // weigh lowers the weight of suspected targets that are not ejected.
 func (l *detectionLoop) weigh(now ferry.Moment, stages map[ferry.TargetID]health.Stage) {
 	weighted := map[ferry.TargetID]bool{}
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -58,17 +58,29 @@
 
 // Times of leases and grants.
 const (
-	// Term is the time for which a share is lent.
+	// Term is the time for which a share of an allowance is lent.
 	Term = 3 * time.Second
+	// ServiceTerm is the time for which a right to eject is lent. It is longer
+	// because ejections live longer than grants.
+	ServiceTerm = 6 * time.Second
 	// GrantLife is the time for which a grant may be spent.
 	GrantLife = 400 * time.Millisecond
 	// Drift is the largest difference between two steady clocks over a Term.
 	Drift = 30 * time.Millisecond
-	// Quarantine is the time after which a new VM may lend its share. A share
-	// that an earlier process lent has ended by then.
-	Quarantine = Term + 2*Drift
+	// quarantine is added to the term of a shard for the time after which a new
+	// VM may lend its share. A share that an earlier process lent has ended by
+	// then.
+	quarantine = 2 * Drift
 )
 
+// termOf returns the time for which a share of the shard is lent.
+func termOf(shard int) time.Duration {
+	if AccountMask.Has(shard) {
+		return Term
+	}
+	return ServiceTerm
+}
+
 // Mask is a set of shards.
 type Mask uint64
 
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -7,7 +7,7 @@
 )
 
 // askMemory is the number of own asks whose time is remembered.
-const askMemory = 16
+const askMemory = 64
 
 // Holder keeps the buckets of the shards that this VM holds. It is not safe
 // for concurrent use.
@@ -80,7 +80,7 @@
 	}
 	for i := range h.shards {
 		if answer.Mask.Has(i) && answer.Sequence > h.shards[i].returned {
-			h.shards[i].renew(now, lease{lender: answer.Lender, parts: answer.Parts, asked: ask.at})
+			h.shards[i].renew(now, lease{lender: answer.Lender, parts: answer.Parts, asked: ask.at, term: termOf(i)})
 		}
 	}
 	for _, origin := range answer.Origins {
@@ -95,6 +95,28 @@
 	}
 }
 
+// Missing returns those of the VMs that have not lent their share of every
+// shard in the mask.
+func (h *Holder) Missing(now ferry.Moment, mask Mask, vms []ferry.VMID) []ferry.VMID {
+	lent := map[ferry.VMID]Mask{}
+	for i := range h.shards {
+		if !mask.Has(i) {
+			continue
+		}
+		h.shards[i].expire(now)
+		for lender := range h.shards[i].leases {
+			lent[lender.VM] = lent[lender.VM].With(i)
+		}
+	}
+	var missing []ferry.VMID
+	for _, vm := range vms {
+		if lent[vm] != mask {
+			missing = append(missing, vm)
+		}
+	}
+	return missing
+}
+
 // Share returns the share that is held of a shard.
 func (h *Holder) Share(now ferry.Moment, index int) float64 {
 	s := &h.shards[index]
@@ -106,7 +128,7 @@
 func (h *Holder) ShareFor(now ferry.Moment, index int, life time.Duration) float64 {
 	total := 0.0
 	for _, l := range h.shards[index].leases {
-		if now.LongestSince(l.asked)+life <= Term-Drift {
+		if now.LongestSince(l.asked)+life <= l.term-Drift {
 			total += 1 / float64(l.parts)
 		}
 	}
--- a/limit/lender.go
+++ b/limit/lender.go
@@ -24,8 +24,9 @@
 	self Process
 	// parts is the number of parts in force, 0 while the VM owns no share.
 	parts int
-	// usable is the steady time from which the share may be lent.
-	usable time.Duration
+	// since is the steady time since which the VM owns its share. Each shard may
+	// be lent one term later.
+	since time.Duration
 	// wanted is a smaller number of parts that comes into force at grows.
 	wanted int
 	grows  time.Duration
@@ -34,7 +35,7 @@
 
 // NewLender returns the lender of a process that starts now.
 func NewLender(self Process, now ferry.Moment) *Lender {
-	return &Lender{self: self, usable: now.Steady + Quarantine}
+	return &Lender{self: self, since: now.Steady}
 }
 
 // SetShare sets the number of parts and whether this VM owns one of them. A
@@ -49,7 +50,7 @@
 	switch {
 	case l.parts == 0:
 		l.parts, l.wanted = parts, 0
-		l.usable = max(l.usable, now.Steady+Quarantine)
+		l.since = now.Steady
 	case parts >= l.parts:
 		l.parts, l.wanted = parts, 0
 	case parts != l.wanted:
@@ -71,15 +72,15 @@
 func (l *Lender) Lend(now ferry.Moment, ask LeaseAsk, view Placement) LeaseAnswer {
 	l.grow(now)
 	answer := LeaseAnswer{Lender: l.self, Holder: ask.Holder, Sequence: ask.Sequence, Parts: l.parts}
-	if l.parts == 0 || now.Steady < l.usable {
+	if l.parts == 0 {
 		return answer
 	}
 	for shard := range l.loans {
-		if !ask.Mask.Has(shard) || view[shard] != ask.Holder.VM {
+		if !ask.Mask.Has(shard) || view[shard] != ask.Holder.VM || now.Steady < l.since+termOf(shard)+quarantine {
 			continue
 		}
 		current := &l.loans[shard]
-		if !current.renew(now, ask) {
+		if !current.renew(now, ask, termOf(shard)) {
 			continue
 		}
 		answer.Mask = answer.Mask.With(shard)
@@ -92,7 +93,7 @@
 
 // renew lends to the asking holder. It reports false while another holder has
 // the share and for asks from before a return.
-func (l *loan) renew(now ferry.Moment, ask LeaseAsk) bool {
+func (l *loan) renew(now ferry.Moment, ask LeaseAsk, term time.Duration) bool {
 	if l.holder == ask.Holder && ask.Sequence <= l.returned.Sequence {
 		return false
 	}
@@ -100,9 +101,9 @@
 		if now.Steady < l.until {
 			return false
 		}
-		*l = loan{holder: ask.Holder, origin: l.returned, originEnd: now.Steady + Term}
+		*l = loan{holder: ask.Holder, origin: l.returned, originEnd: now.Steady + term}
 	}
-	l.until = now.Steady + Term + Drift
+	l.until = now.Steady + term + Drift
 	return true
 }
 
--- a/limit/shard.go
+++ b/limit/shard.go
@@ -10,19 +10,25 @@
 // historySize is the number of changes of share that a shard remembers.
 const historySize = 128
 
-// usableTime is the time for which a lease backs new grants. Grants given
-// before its end have expired when the lease ends.
-const usableTime = Term - GrantLife - Drift
-
 // lease is the share that one VM lends for a shard.
 type lease struct {
 	lender Process
 	parts  int
 	asked  ferry.Moment
+	term   time.Duration
 }
 
+// usableTime is the time for which the lease backs new grants. Grants given
+// before its end have expired when the lease ends.
+func (l lease) usableTime() time.Duration { return l.term - GrantLife - Drift }
+
 // end is the steady time from which the lease backs no new grants.
-func (l lease) end() time.Duration { return l.asked.Steady + usableTime }
+func (l lease) end() time.Duration { return l.asked.Steady + l.usableTime() }
+
+// isOver reports whether the lease backs no new grants by either clock.
+func (l lease) isOver(now ferry.Moment) bool {
+	return now.LongestSince(l.asked) >= l.usableTime()
+}
 
 // change is a change of the held share at one steady time.
 type change struct {
@@ -92,7 +98,7 @@
 		s.record(oldest.end())
 	}
 	for lender, l := range s.leases {
-		if now.LongestSince(l.asked) >= usableTime {
+		if l.isOver(now) {
 			delete(s.leases, lender)
 		}
 	}
@@ -112,7 +118,7 @@
 // renew starts or extends a lease.
 func (s *shard) renew(now ferry.Moment, l lease) {
 	s.expire(now)
-	if now.LongestSince(l.asked) >= usableTime {
+	if l.isOver(now) {
 		return
 	}
 	if old, ok := s.leases[l.lender]; ok && old.asked.Steady >= l.asked.Steady {
--- a/load/entry.go
+++ b/load/entry.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,11 +21,20 @@
 	client *http.Client
 
 	mu      sync.Mutex
-	random  *rand.Rand
 	list    []string
 	expires time.Time
 }
 
+// newDirectory returns the directory of one of an account's callers. Callers
+// with different numbers first ask different VMs.
+func newDirectory(seeds []netip.AddrPort, account string, number int, client *http.Client) *directory {
+	first := number % len(seeds)
+	return &directory{
+		seeds:  slices.Concat(seeds[first:], seeds[:first]),
+		caller: fmt.Sprintf("%s-%d", account, number), client: client,
+	}
+}
+
 // entryAnswer is the answer of a VM to the question for addresses.
 type entryAnswer struct {
 	Addresses       []string
@@ -41,9 +51,9 @@
 	if time.Now().Before(d.expires) {
 		return d.list
 	}
-	candidates := append([]string{}, d.list...)
-	for _, i := range d.random.Perm(len(d.seeds)) {
-		candidates = append(candidates, d.seeds[i].String())
+	candidates := slices.Clone(d.list)
+	for _, seed := range d.seeds {
+		candidates = append(candidates, seed.String())
 	}
 	for _, address := range candidates {
 		if answer, err := d.ask(ctx, address); err == nil {
--- a/load/load.go
+++ b/load/load.go
@@ -39,6 +39,9 @@
 	Path   string
 	// BodyBytes is the size of each request body.
 	BodyBytes int
+	// Callers is the number of callers that share the traffic. They ask
+	// different VMs for addresses. Zero stands for 1.
+	Callers int
 }
 
 // Plan describes a run.
@@ -80,6 +83,7 @@
 	maxLatency     = 60 * time.Second
 	significant    = 3
 	connsPerHost   = 64
+	maxCallers     = 1024
 )
 
 // Run sends the traffic of the plan until its duration is over.
@@ -96,8 +100,12 @@
 	}
 	var group sync.WaitGroup
 	for i, account := range plan.Accounts {
-		random := rand.New(rand.NewPCG(plan.Seed, uint64(i)))
-		group.Go(func() { r.runAccount(ctx, account, random) })
+		callers := max(1, account.Callers)
+		account.Rate /= float64(callers)
+		for j := range callers {
+			random := rand.New(rand.NewPCG(plan.Seed, uint64(i*maxCallers+j)))
+			group.Go(func() { r.runCaller(ctx, account, j, random) })
+		}
 	}
 	group.Wait()
 	r.client.CloseIdleConnections()
@@ -114,11 +122,11 @@
 	report Report
 }
 
-// runAccount sends the requests of one account at random times.
-func (r *runner) runAccount(ctx context.Context, account Account, random *rand.Rand) {
+// runCaller sends the requests of one caller at random times.
+func (r *runner) runCaller(ctx context.Context, account Account, number int, random *rand.Rand) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	directory := &directory{seeds: r.plan.Seeds, caller: account.ID, client: r.client, random: random}
+	directory := newDirectory(r.plan.Seeds, account.ID, number, r.client)
 	next := time.Now()
 	for {
 		next = next.Add(time.Duration(random.ExpFloat64() / account.Rate * float64(time.Second)))
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -23,6 +23,8 @@
 		return &peerpb.Frame{Body: &peerpb.Frame_Hello{Hello: encodeHello(m)}}, nil
 	case Beat:
 		return &peerpb.Frame{Body: &peerpb.Frame_Beat{Beat: encodeBeat(m)}}, nil
+	case limit.LeaseAsk:
+		return &peerpb.Frame{Body: &peerpb.Frame_LeaseAsk{LeaseAsk: &peerpb.LeaseAsk{Sequence: m.Sequence, Mask: uint64(m.Mask)}}}, nil
 	case limit.LeaseAnswer:
 		return &peerpb.Frame{Body: &peerpb.Frame_LeaseAnswer{LeaseAnswer: encodeLeaseAnswer(m)}}, nil
 	case limit.LeaseReturn:
@@ -51,6 +53,8 @@
 		return decodeHello(body.Hello)
 	case *peerpb.Frame_Beat:
 		return decodeBeat(body.Beat)
+	case *peerpb.Frame_LeaseAsk:
+		return limit.LeaseAsk{Holder: from, Sequence: body.LeaseAsk.GetSequence(), Mask: limit.Mask(body.LeaseAsk.GetMask())}, nil
 	case *peerpb.Frame_LeaseAnswer:
 		return decodeLeaseAnswer(body.LeaseAnswer, from, self)
 	case *peerpb.Frame_LeaseReturn:
--- a/peer/message.go
+++ b/peer/message.go
@@ -8,7 +8,7 @@
 )
 
 // Message is one of Hello, Beat, Evidence, Fetch, Value and the messages of
-// package limit other than LeaseAsk, which travels in a Beat.
+// package limit.
 type Message any
 
 // Hello introduces the dialing VM.
