gossip: do not take a VM without the list of VMs for the only one

Cause: a VM that read the manifest before the list of VMs counted itself as the whole fleet and served at once, also beside a stale platform. Ruled out: reading the list first (the two reads fail independently). Change: a VM without the list serves only what a majority of the VMs that it reaches shows, after the cold wait, and never alone.

--- a/gossip/controller.go
+++ b/gossip/controller.go
@@ -45,11 +45,9 @@
 	pending  *candidate
 	rejected map[Stamp]bool
 	peers    map[ferry.VMID]peer
-	listed   int
-	live     []ferry.VMID
+	list     ListEvent
 	started  ferry.Moment
 	hasStart bool
-	isListed bool
 	ready    bool
 	asked    map[ferry.VMID]ferry.Moment
 }
@@ -167,7 +165,7 @@
 }
 
 func (c *Controller) onList(event ListEvent) {
-	c.listed, c.live, c.isListed = event.Listed, event.Live, true
+	c.list = event
 	for id := range c.peers {
 		if !slices.Contains(event.Live, id) {
 			delete(c.peers, id)
@@ -232,7 +230,7 @@
 
 // checkReady decides whether a new VM knows enough to serve.
 func (c *Controller) checkReady(now ferry.Moment) []Action {
-	if c.ready || c.inventory == nil || !c.isListed {
+	if c.ready || c.inventory == nil {
 		return nil
 	}
 	answered, anyReady := 0, false
@@ -243,13 +241,26 @@
 		answered++
 		anyReady = anyReady || p.ready
 	}
-	others := c.listed - 1
-	hasMajority := 2*answered > others && anyReady
-	isAlone := others <= 0
-	isCold := !anyReady && now.Since(c.started) >= coldWait
-	if !hasMajority && !isAlone && !isCold {
+	if !c.isWitnessed(answered, anyReady, now.Since(c.started) >= coldWait) {
 		return nil
 	}
 	c.ready = true
 	return []Action{ReadyAction{}}
 }
+
+// isWitnessed reports whether enough other VMs have shown their configuration.
+// Without the platform's list, the reachable VMs stand for it, and a VM that
+// reaches none does not serve.
+func (c *Controller) isWitnessed(answered int, anyReady, hasWaited bool) bool {
+	if !c.list.Known {
+		return hasWaited && anyReady && 2*answered > len(c.list.Live)
+	}
+	others := c.list.Listed - 1
+	if others <= 0 {
+		return true
+	}
+	if anyReady {
+		return 2*answered > others
+	}
+	return hasWaited
+}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -64,8 +64,10 @@
 }
 
 // ListEvent reports how many VMs the platform lists, this VM included, and
-// which of them can be reached.
+// which VMs can be reached.
 type ListEvent struct {
+	// Known reports that the list has been read.
+	Known  bool
 	Listed int
 	Live   []ferry.VMID
 }
--- a/host/control.go
+++ b/host/control.go
@@ -183,7 +183,7 @@
 	l.isReader.Store(isReader(view, l.self.VM))
 	l.allowance.post(ctx, allowanceEvent{view: &view})
 	l.detection.post(ctx, detectionEvent{view: &view})
-	l.stepGossip(ctx, gossip.ListEvent{Listed: view.Listed, Live: reachable(view, l.self.VM)})
+	l.stepGossip(ctx, gossip.ListEvent{Known: view.Known, Listed: view.Listed, Live: reachable(view, l.self.VM)})
 	l.log.Info("view", slog.Int("listed", view.Listed), slog.Int("up", len(view.Holders())), slog.Int("serving", len(view.Serving())))
 }
 
--- a/member/controller.go
+++ b/member/controller.go
@@ -90,6 +90,8 @@
 // is empty.
 type View struct {
 	Members []Member
+	// Known reports that the platform's list has been read.
+	Known bool
 	// Listed is the number of VMs on the platform's list, this VM included.
 	Listed int
 	// Rank is the position of this VM among them.
@@ -149,6 +151,8 @@
 	records map[ferry.VMID]*record
 	order   []ferry.VMID
 	view    View
+	// isListKnown reports that the platform's list has been read.
+	isListKnown bool
 }
 
 // NewController returns the controller of the given process.
@@ -184,6 +188,7 @@
 
 func (c *Controller) onList(list ferry.VMList) {
 	listed := map[ferry.VMID]bool{}
+	c.isListKnown = true
 	c.self.Listed = false
 	for _, vm := range list.VMs {
 		if vm.ID == c.self.VM.ID {
@@ -266,7 +271,7 @@
 
 // publish returns the view when it has changed.
 func (c *Controller) publish(now ferry.Moment) []Action {
-	view := View{Listed: 1, Members: make([]Member, 0, len(c.order)+1)}
+	view := View{Known: c.isListKnown, Listed: 1, Members: make([]Member, 0, len(c.order)+1)}
 	view.Members = append(view.Members, c.self)
 	for _, id := range c.order {
 		r := c.records[id]
@@ -281,7 +286,7 @@
 		}
 	}
 	slices.SortFunc(view.Members, func(a, b Member) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
-	if view.Listed == c.view.Listed && view.Rank == c.view.Rank && slices.Equal(view.Members, c.view.Members) {
+	if view.Known == c.view.Known && view.Listed == c.view.Listed && view.Rank == c.view.Rank && slices.Equal(view.Members, c.view.Members) {
 		return nil
 	}
 	c.view = view
