--- a/limit/rule_test.go
+++ b/limit/rule_test.go
@@ -143,8 +143,8 @@
 		return h.Grant(moment(at), GrantAsk{From: holderB, Sequence: sequence, Account: small.ID, Need: 20, Reports: reports}).Granted
 	}
 	is.Equal(grant(1500*time.Millisecond, 1), 20)
-	is.Equal(grant(1800*time.Millisecond, 2), 0)                                  // 20 tokens are open
-	is.Equal(grant(1800*time.Millisecond, 3, Report{Sequence: 77, Spent: 20}), 0) // a report of another grant
+	is.Equal(grant(1600*time.Millisecond, 2, Report{Sequence: 77, Spent: 20}), 0) // a report of another grant
+	is.Equal(grant(1800*time.Millisecond, 3), 0)                                  // 20 tokens are still open
 	is.Equal(grant(1800*time.Millisecond, 4, Report{Sequence: 1, Spent: 20}), 0)  // spent now, nothing accrued meanwhile
 	is.Equal(grant(1900*time.Millisecond, 5), 2)
 }
--- /dev/null
+++ b/proxy/session_test.go
@@ -0,0 +1,320 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/auth"
+	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/retry"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// TestSessions plays whole sessions from golden files. Each file holds what
+// the caller sends and what the targets answer, and what is expected: the bytes
+// at the targets, the bytes of the answer and the decision log.
+func TestSessions(t *testing.T) {
+	names, err := filepath.Glob("testdata/session/*.txtar")
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no sessions: %v", err)
+	}
+	for _, name := range names {
+		t.Run(strings.TrimSuffix(filepath.Base(name), ".txtar"), func(t *testing.T) {
+			is := is.New(t)
+			archive, err := txtar.ParseFile(name)
+			is.NoErr(err)
+			played := playSession(t, archive)
+			if *update {
+				is.NoErr(os.WriteFile(name, txtar.Format(played), 0o600))
+				return
+			}
+			is.Equal(string(txtar.Format(played)), string(txtar.Format(archive)))
+		})
+	}
+}
+
+// playSession returns the archive with the results of the session.
+func playSession(t *testing.T, archive *txtar.Archive) *txtar.Archive {
+	t.Helper()
+	scripts := map[string]string{}
+	played := &txtar.Archive{Comment: archive.Comment}
+	for _, file := range archive.Files {
+		if strings.HasPrefix(file.Name, "want-") {
+			continue
+		}
+		scripts[file.Name] = string(file.Data)
+		played.Files = append(played.Files, file)
+	}
+	fixture := newFixture(t, []string{scripts["target-1"], scripts["target-2"]})
+	answer := fixture.exchange(t, wireText(scripts["caller"]))
+	for i, received := range fixture.received() {
+		if received != "" {
+			played.Files = append(played.Files, txtar.File{Name: fmt.Sprintf("want-target-%d", i+1), Data: []byte(plainText(received))})
+		}
+	}
+	played.Files = append(played.Files,
+		txtar.File{Name: "want-answer", Data: []byte(plainText(answer))},
+		txtar.File{Name: "want-log", Data: []byte(plainText(fixture.log.String()))})
+	return played
+}
+
+// wireText turns the lines of a golden file into bytes of HTTP.
+func wireText(text string) string {
+	return strings.ReplaceAll(strings.TrimSuffix(text, "\n"), "\n", "\r\n")
+}
+
+var changing = regexp.MustCompile(`(?m)^(Date|Ferry-Deadline-Ms): .*\n`)
+
+// plainText removes what differs between two runs.
+func plainText(text string) string {
+	text = changing.ReplaceAllString(strings.ReplaceAll(text, "\r\n", "\n"), "")
+	text = regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAllString(text, "ADDRESS")
+	if !strings.HasSuffix(text, "\n") {
+		text += "\n"
+	}
+	return text
+}
+
+// fixture is a server with scripted targets.
+type fixture struct {
+	server  *httptest.Server
+	targets []*scriptedTarget
+	log     *syncBuffer
+	view    *conf.View
+	// handling counts the requests that the server works on.
+	handling sync.WaitGroup
+
+	mu      sync.Mutex
+	next    int
+}
+
+// Snapshot implements Snapshots.
+func (f *fixture) Snapshot() ferry.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+// Choose implements Queue: each attempt goes to the next target.
+func (f *fixture) Choose(_ context.Context, _ *ferry.Account, choice ferry.Choice) (ferry.Pick, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next >= len(f.targets) {
+		return ferry.Pick{}, refuse(http.StatusServiceUnavailable, ferry.ReasonNoTarget, "no target is left")
+	}
+	target := f.targets[f.next]
+	f.next++
+	return ferry.Pick{Target: &ferry.Target{
+		ID: ferry.TargetID(fmt.Sprintf("target-%d", f.next)), Service: choice.Service, Place: "place-1", Address: target.address,
+	}, Reason: ferry.ReasonOwnPlace}, nil
+}
+
+// Release implements Queue.
+func (f *fixture) Release(ferry.Moment, ferry.Pick, ferry.Result) {}
+
+// Observe implements ferry.Observer.
+func (f *fixture) Observe(ferry.Moment, *ferry.Target, ferry.Result) {}
+
+// Admit implements ferry.Limiter.
+func (f *fixture) Admit(_ context.Context, account *ferry.Account) (ferry.Permit, error) {
+	if account.ID == "empty" {
+		return nil, &ferry.Refusal{
+			Status: http.StatusTooManyRequests, Reason: ferry.ReasonOverAllowance, Outcome: ferry.OutcomeNotRun,
+			RetryAfter: 1500 * time.Millisecond, Detail: "the client account has used up its rate and burst",
+		}
+	}
+	return openPermit{}, nil
+}
+
+type openPermit struct{}
+
+func (openPermit) Spend(ferry.Moment) bool { return true }
+func (openPermit) Return(ferry.Moment)     {}
+
+type fixedClock struct{}
+
+func (fixedClock) Now() ferry.Moment { return ferry.Moment{} }
+
+// syncBuffer is a buffer for concurrent use.
+type syncBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+// String returns what was written so far.
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// testStall is the stall bound of the service of the sessions.
+const testStall = 200 * time.Millisecond
+
+func testInventory() *ferry.Inventory {
+	get := []string{http.MethodGet, http.MethodHead}
+	return &ferry.Inventory{
+		Version: 1, MaxVMs: 1,
+		Services: []ferry.Service{{ID: "orders", Rules: ferry.Rules{StallAfter: testStall, RetryBudget: 1}.Normal()}},
+		Accounts: []ferry.Account{
+			{ID: "clinic", Rate: 10, Burst: 10, Keys: []ferry.KeyHash{ferry.HashKey("secret-key")}},
+			{ID: "empty", Rate: 10, Burst: 10, Keys: []ferry.KeyHash{ferry.HashKey("empty-key")}},
+		},
+		Routes: []ferry.Route{
+			{ID: "orders", PathPrefix: "/orders", Service: "orders", IdempotentMethods: get, Deadline: 2 * time.Second, BodyLimit: 64},
+			{ID: "open", PathPrefix: "/prices", Service: "orders", Open: true, IdempotentMethods: get, Deadline: 2 * time.Second, BodyLimit: 64},
+		},
+	}
+}
+
+func newFixture(t *testing.T, scripts []string) *fixture {
+	t.Helper()
+	f := &fixture{log: &syncBuffer{}, view: conf.NewView(testInventory())}
+	for _, script := range scripts {
+		if script != "" {
+			f.targets = append(f.targets, newScriptedTarget(t, script))
+		}
+	}
+	log := slog.New(slog.NewTextHandler(f.log, &slog.HandlerOptions{ReplaceAttr: func(_ []string, attr slog.Attr) slog.Attr {
+		if attr.Key == slog.TimeKey {
+			return slog.Attr{}
+		}
+		return attr
+	}}))
+	counters := NewMetrics(metrics.NewSet())
+	forwarder := NewForwarder(Config{
+		Queue: f, Limiter: f, Observer: f, Snapshots: f, Budgets: &retry.Set{}, Clock: fixedClock{}, Log: log, Metrics: counters,
+	})
+	chain := ferry.Chain(forwarder, RouteFilter{}, auth.Filter{}, BodyFilter{}, LimitFilter{Limiter: f, Clock: fixedClock{}})
+	server := NewServer(chain, f, fixedClock{}, func() string { return "request-1" }, log, counters)
+	f.server = httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		f.handling.Add(1)
+		defer f.handling.Done()
+		server.ServeHTTP(writer, request)
+	}))
+	f.server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)
+	f.server.Start()
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+// received returns the bytes that each target received.
+func (f *fixture) received() []string {
+	var all []string
+	for _, target := range f.targets {
+		all = append(all, target.received.String())
+	}
+	return all
+}
+
+// exchange sends raw bytes and returns everything that comes back.
+func (f *fixture) exchange(t *testing.T, request string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err = conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err = io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		answer = append(answer, []byte("\n[connection reset]")...)
+	}
+	f.handling.Wait()
+	return string(answer)
+}
+
+// scriptedTarget answers one request with given bytes.
+type scriptedTarget struct {
+	address  netip.AddrPort
+	received *syncBuffer
+}
+
+// Scripts other than the bytes of an answer.
+const (
+	scriptReset  = "[reset]\n"
+	scriptStall  = "[stall]\n"
+	scriptRefuse = "[refuse]\n"
+)
+
+func newScriptedTarget(t *testing.T, script string) *scriptedTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := &scriptedTarget{address: netip.MustParseAddrPort(listener.Addr().String()), received: &syncBuffer{}}
+	if script == scriptRefuse {
+		_ = listener.Close()
+		return target
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go target.serve(conn, script)
+		}
+	}()
+	return target
+}
+
+// serve reads one request and plays the script.
+func (s *scriptedTarget) serve(conn net.Conn, script string) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(io.TeeReader(conn, s.received)))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	switch script {
+	case scriptReset:
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	case scriptStall:
+		_, _ = io.Copy(io.Discard, conn)
+	default:
+		head, isStalled := strings.CutSuffix(script, "[stall]\n")
+		_, _ = io.WriteString(conn, wireText(head))
+		if isStalled {
+			_, _ = io.Copy(io.Discard, conn)
+		}
+	}
+}
