health: keep a failing service from losing its busiest target

Cause: when all targets of a service failed alike, one of them was ejected. TestWholeServiceFails showed three ways: the target with the most attempts leads the median; after latencies have settled the ratios fall at different times; ratios computed from the old error share stay in the sum. Ruled out: a factor on the median alone (fixes the first way only); a larger threshold (delays every detection). Change: twice the median is subtracted; a change of the median target resets all ratios; the baseline comes from the better 70% of the targets within 2 s, and ratios are dropped when it triples; trials count whole attempts.

--- a/health/detector.go
+++ b/health/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,8 +14,19 @@
 	hotScore = 1.0
 	// recentTime is the age at which a score no longer counts as observed.
 	recentTime = 5 * time.Second
-	// baselineMargin scales the median error share of a service.
+	// baselineMargin scales the error share of most targets of a service.
 	baselineMargin = 1.5
+	// recalibrateFactor is the rise of the baseline that makes earlier ratios
+	// meaningless.
+	recalibrateFactor = 3
+	// keptShare is the part of the targets that the baseline is taken from.
+	keptShare = 0.7
+	// commonFactor scales the ratio of the median target. When all targets fail
+	// alike, those with the most attempts lead the median by less than this.
+	commonFactor = 2
+	// resetShare is the part of the threshold at which the ratio of the median
+	// target shows a change of the whole service.
+	resetShare = 0.3
 	// baselineAge is the age at which the baseline is computed anew.
 	baselineAge = 100 * time.Millisecond
 )
@@ -32,6 +44,8 @@
 	// baseline is the error share of a healthy target as of baselineAt.
 	baseline   float64
 	baselineAt time.Duration
+	// calibrated is the baseline from which the error ratios were computed.
+	calibrated float64
 }
 
 // observed is the state of one target.
@@ -134,24 +148,64 @@
 	return score
 }
 
-// baseline returns the error share of a healthy target: the configured one,
-// or that of the median target when the whole service errs more.
+// baseline returns the error share of a healthy target: the configured one, or
+// that of most targets when the whole service errs more.
 func (d *Detector) baseline(now ferry.Moment, s *service) float64 {
 	if s.baseline > 0 && now.Steady-s.baselineAt < baselineAge {
 		return s.baseline
 	}
-	var shares []float64
+	var counts []recentCount
 	for _, id := range s.targets {
-		good, bad := d.counts(now, id, "")
-		if total := good + bad; total >= 1 {
-			shares = append(shares, bad/total)
+		var c recentCount
+		for _, score := range d.targets[id].scores {
+			score.fade(now)
+			c.bad += score.Bad
+			c.total += score.Good + score.Bad
 		}
+		counts = append(counts, c)
 	}
 	s.baselineAt = now.Steady
-	s.baseline = max(s.rules.Normal().BaselineErrors, baselineMargin*median(shares))
+	s.baseline = max(s.rules.Normal().BaselineErrors, baselineMargin*trimmedShare(counts))
+	d.recalibrate(s)
 	return s.baseline
 }
 
+// recalibrate drops the error ratios of a service whose targets all began to
+// err more, since they were computed from the old baseline.
+func (d *Detector) recalibrate(s *service) {
+	if s.calibrated > 0 && s.baseline < recalibrateFactor*s.calibrated {
+		s.calibrated = min(s.calibrated, s.baseline)
+		return
+	}
+	if s.calibrated > 0 {
+		for _, id := range s.targets {
+			for _, score := range d.targets[id].scores {
+				score.Errors = 0
+			}
+		}
+	}
+	s.calibrated = s.baseline
+}
+
+// recentCount is the number of recent attempts on one target.
+type recentCount struct {
+	bad, total float64
+}
+
+// trimmedShare returns the error share without the targets with most errors.
+func trimmedShare(counts []recentCount) float64 {
+	slices.SortFunc(counts, func(a, b recentCount) int { return cmp.Compare(a.bad, b.bad) })
+	var sum recentCount
+	for _, c := range counts[:int(math.Ceil(keptShare*float64(len(counts))))] {
+		sum.bad += c.bad
+		sum.total += c.total
+	}
+	if sum.total < 1 {
+		return 0
+	}
+	return sum.bad / sum.total
+}
+
 // median returns the lower median, or 0 for an empty list.
 func median(values []float64) float64 {
 	if len(values) == 0 {
@@ -211,6 +265,7 @@
 	if s == nil {
 		return nil
 	}
+	d.forgetCommon(now, s)
 	var suspects []Suspect
 	for place := range d.placesOf(s) {
 		suspects = append(suspects, d.suspectsOf(now, s, place)...)
@@ -222,6 +277,27 @@
 	return suspects
 }
 
+// forgetCommon resets the ratios of all targets when those of the median
+// target show that the service has changed as a whole. Otherwise the ratios
+// would fall at different times once the estimates have followed the change.
+func (d *Detector) forgetCommon(now ferry.Moment, s *service) {
+	errors, slowness := d.common(now, s)
+	limit := resetShare * s.threshold
+	if errors < limit && slowness < limit {
+		return
+	}
+	for _, id := range s.targets {
+		for _, score := range d.targets[id].scores {
+			if errors >= limit {
+				score.Errors = 0
+			}
+			if slowness >= limit {
+				score.Slowness = 0
+			}
+		}
+	}
+}
+
 func (d *Detector) placesOf(s *service) map[ferry.PlaceID]bool {
 	places := map[ferry.PlaceID]bool{}
 	for _, id := range s.targets {
@@ -267,7 +343,7 @@
 		if score == nil {
 			continue
 		}
-		excess := max(score.Errors-commonErrors, score.Slowness-commonSlowness)
+		excess := max(score.Errors-commonFactor*commonErrors, score.Slowness-commonFactor*commonSlowness)
 		if excess < s.threshold {
 			continue
 		}
@@ -332,18 +408,17 @@
 	}
 }
 
-// counts returns the recent attempts on a target from all places or, when
-// place is not empty, from one.
-func (d *Detector) counts(now ferry.Moment, id ferry.TargetID, place ferry.PlaceID) (good, bad float64) {
+// counts returns the attempts on a target since the last reset, from all places
+// or, when place is not empty, from one.
+func (d *Detector) counts(id ferry.TargetID, place ferry.PlaceID) (good, bad int) {
 	o := d.targets[id]
 	if o == nil {
 		return 0, 0
 	}
 	for from, score := range o.scores {
 		if place == "" || from == place {
-			score.fade(now)
-			good += score.Good
-			bad += score.Bad
+			good += score.AllGood
+			bad += score.AllBad
 		}
 	}
 	return good, bad
--- a/health/ejector.go
+++ b/health/ejector.go
@@ -211,13 +211,13 @@
 			d.enter(now, StageTrial)
 		}
 	case StageTrial:
-		good, bad := detector.counts(now, d.ejection.Target, d.ejection.Place)
+		good, bad := detector.counts(d.ejection.Target, d.ejection.Place)
 		switch {
-		case bad >= minTrialFault:
+		case bad > 0:
 			d.ejection.Relapses = min(d.ejection.Relapses+1, maxRelapses)
 			detector.Reset(d.ejection.Target)
 			d.enter(now, StageEjected)
-		case good >= trialAnswers*trialFade, age >= trialPatience:
+		case good >= trialAnswers, age >= trialPatience:
 			detector.Reset(d.ejection.Target)
 			d.enter(now, StageSlowStart)
 		}
@@ -229,13 +229,6 @@
 	}
 }
 
-// Counts of attempts fade, so the bounds of a trial are a little lower than
-// the numbers of attempts.
-const (
-	minTrialFault = 0.3
-	trialFade     = 0.6
-)
-
 // length returns the length of an ejection after the given relapses.
 func (e *Ejector) length(relapses int) time.Duration {
 	longest := e.service.Rules.Normal().MaxEjection
--- a/health/evidence.go
+++ b/health/evidence.go
@@ -21,9 +21,12 @@
 type Score struct {
 	Errors   float64
 	Slowness float64
-	// Good and Bad count recent attempts; both fade with goodFade.
+	// Good and Bad count recent attempts; both fade with fadeTime.
 	Good float64
 	Bad  float64
+	// AllGood and AllBad count the attempts since the last reset.
+	AllGood int
+	AllBad  int
 	// At is the steady time of the last attempt.
 	At time.Duration
 	// fadedAt is the steady time to which Good and Bad belong.
@@ -38,11 +41,13 @@
 	s.Slowness = max(0, s.Slowness+increment.Slowness)
 	s.Good += float64(increment.Good)
 	s.Bad += float64(increment.Bad)
+	s.AllGood += increment.Good
+	s.AllBad += increment.Bad
 	s.At = now.Steady
 }
 
 // fadeTime is the time in which the counts of recent attempts fall to 1/e.
-const fadeTime = 5 * time.Second
+const fadeTime = 2 * time.Second
 
 func (s *Score) fade(now ferry.Moment) {
 	factor := math.Exp(-(now.Steady - s.fadedAt).Seconds() / fadeTime.Seconds())
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -106,8 +106,8 @@
 	// handling counts the requests that the server works on.
 	handling sync.WaitGroup
 
-	mu      sync.Mutex
-	next    int
+	mu   sync.Mutex
+	next int
 }
 
 // Snapshot implements Snapshots.
