host: test planned stop, kill, withdrawal, stale platform and foreign peers

Cause: the promises about whole VMs had no proof. Change: tests on a small fleet in one process with the stand-ins: a planned stop under load, a killed VM, a key withdrawn during an upload, a restart beside a stale platform, every VM restarted with the platform away, nonsense and foreign certificates at the listener for peers, the administration API.

--- /dev/null
+++ b/host/host_test.go
@@ -0,0 +1,463 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/cert"
+	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/fake"
+	"monsoonferry.org/ferry/load"
+	"monsoonferry.org/ferry/store"
+)
+
+// patience bounds every wait of a test. Tests assert what happened, not when.
+const patience = 40 * time.Second
+
+// bench is a small fleet in one process with a platform and targets.
+type bench struct {
+	t         *testing.T
+	platform  *fake.Platform
+	server    *httptest.Server
+	targets   []*fake.Target
+	inventory *ferry.Inventory
+	vms       []*benchVM
+	peerTLS   conf.TLSFiles
+}
+
+// benchVM is one VM of a bench.
+type benchVM struct {
+	settings conf.Settings
+	host     *Host
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+func key(account string) string { return fake.KeyMark + account }
+
+// newBench starts a platform and targets and publishes an inventory.
+func newBench(t *testing.T, vms, targets int) *bench {
+	t.Helper()
+	b := &bench{t: t, platform: fake.NewPlatform()}
+	b.server = httptest.NewServer(b.platform)
+	t.Cleanup(b.server.CloseClientConnections)
+	b.inventory = &ferry.Inventory{
+		Version: 1, MaxVMs: vms,
+		Places:   []ferry.Place{{ID: "p1", Region: "r1"}, {ID: "p2", Region: "r2"}},
+		Services: []ferry.Service{{ID: "orders", Rules: ferry.Rules{}.Normal()}},
+		Routes: []ferry.Route{
+			{ID: "orders", PathPrefix: "/orders", Service: "orders", Deadline: 20 * time.Second, BodyLimit: 1 << 30},
+			{ID: "advice", PathPrefix: "/advice", Service: "orders", IdempotentMethods: []string{http.MethodGet}, Deadline: 20 * time.Second, BodyLimit: 1},
+		},
+	}
+	for _, id := range []string{"one", "two"} {
+		b.inventory.Accounts = append(b.inventory.Accounts, ferry.Account{
+			ID: ferry.AccountID(id), Rate: 500, Burst: 500, Keys: []ferry.KeyHash{ferry.HashKey(key(id))},
+		})
+	}
+	for i := range targets {
+		target := fake.NewTarget(fmt.Sprintf("t%d", i), 8, 2*time.Millisecond, uint64(i))
+		server := httptest.NewServer(target)
+		t.Cleanup(server.CloseClientConnections)
+		b.targets = append(b.targets, target)
+		b.inventory.Targets = append(b.inventory.Targets, ferry.Target{
+			ID: ferry.TargetID(fmt.Sprintf("t%d", i)), Service: "orders", Place: "p1", Slots: 8, MaxConnections: 300,
+			Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
+		})
+	}
+	return b
+}
+
+// start starts the VMs and waits until all of them serve.
+func (b *bench) start(count int) {
+	b.t.Helper()
+	for i := range count {
+		b.vms = append(b.vms, &benchVM{settings: conf.Settings{
+			ID: ferry.VMID(fmt.Sprintf("vm-%d", i)), Place: ferry.PlaceID(fmt.Sprintf("p%d", i%2+1)),
+			Callers: freePort(b.t), Peers: freePort(b.t), Admin: freePort(b.t),
+			Platform:    []netip.AddrPort{netip.MustParseAddrPort(b.server.Listener.Addr().String())},
+			OperatorKey: ferry.HashKey("operator"), PlainText: true, PeerTLS: b.peerTLS,
+		}})
+	}
+	b.publish()
+	for _, v := range b.vms {
+		b.launch(v)
+	}
+	b.await("every VM serves", func() bool {
+		for _, v := range b.vms {
+			if status := v.host.Status(); !status.Ready || status.Up != count || len(v.host.control.view.Load().Serving()) != count {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// launch starts the process of a VM anew.
+func (b *bench) launch(v *benchVM) {
+	b.t.Helper()
+	logger := Logger{Log: slog.New(slog.DiscardHandler), Level: &slog.LevelVar{}}
+	host, err := New(v.settings, ferry.NewSystemClock(), logger, store.NewClient(v.settings.Platform), metrics.NewSet())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	v.host, v.cancel, v.done = host, cancel, make(chan error, 1)
+	ended := make(chan struct{})
+	done := v.done
+	go func() {
+		done <- host.Run(ctx)
+		close(ended)
+	}()
+	b.t.Cleanup(func() {
+		cancel()
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			b.t.Errorf("VM %s does not end", v.settings.ID)
+		}
+	})
+}
+
+// publish writes the inventory and the list of VMs to the platform.
+func (b *bench) publish() {
+	b.t.Helper()
+	manifest, parts, err := conf.Split(b.inventory)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for name, body := range parts {
+		b.platform.Publish(name, body)
+	}
+	list := ferry.VMList{Version: b.inventory.Version}
+	for _, v := range b.vms {
+		s := v.settings
+		list.VMs = append(list.VMs, ferry.VM{ID: s.ID, Place: s.Place, Callers: s.Callers, Peers: s.Peers, Admin: s.Admin})
+	}
+	text, err := conf.FormatVMList(list)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.platform.Publish(conf.VMListName, text)
+	if text, err = conf.FormatManifest(manifest); err != nil {
+		b.t.Fatal(err)
+	}
+	b.platform.Publish(conf.ManifestName, text)
+}
+
+func (b *bench) await(what string, condition func() bool) {
+	b.t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); {
+		if time.Now().After(deadline) {
+			b.t.Fatalf("gave up waiting: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// call sends one request and returns its status and outcome.
+func (v *benchVM) call(method, path, keyText string) (status int, outcome string) {
+	request, err := http.NewRequest(method, "http://"+v.settings.Callers.String()+path, http.NoBody)
+	if err != nil {
+		return 0, ""
+	}
+	request.Header.Set(ferry.HeaderKey, keyText)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = answer.Body.Close() }()
+	_, _ = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode, answer.Header.Get(ferry.HeaderOutcome)
+}
+
+// awaitAllowance waits until every VM admits requests.
+func (b *bench) awaitAllowance() {
+	b.t.Helper()
+	b.await("every VM admits requests", func() bool {
+		for _, v := range b.vms {
+			if status, _ := v.call(http.MethodGet, "/advice/x", key("one")); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (b *bench) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, v := range b.vms {
+		seeds = append(seeds, v.settings.Callers)
+	}
+	return seeds
+}
+
+// traffic sends requests of both accounts for the given time.
+func (b *bench) traffic(d time.Duration) <-chan *load.Report {
+	reports := make(chan *load.Report, 1)
+	go func() {
+		reports <- load.Run(context.Background(), load.Plan{
+			Seeds: b.seeds(), Duration: d, Seed: 1,
+			Accounts: []load.Account{
+				{ID: "one", Key: key("one"), Rate: 100, Method: http.MethodPost, Path: "/orders/new", BodyBytes: 100, Callers: len(b.vms)},
+				{ID: "two", Key: key("two"), Rate: 100, Method: http.MethodGet, Path: "/advice/x", Callers: len(b.vms)},
+			},
+		})
+	}()
+	return reports
+}
+
+func (b *bench) judge(report *load.Report) ([]load.AccountReport, load.Promises) {
+	var seen []fake.TargetReport
+	for _, target := range b.targets {
+		seen = append(seen, target.Report())
+	}
+	return load.Judge(report, seen, map[string]load.Allowance{"one": {Rate: 500, Burst: 500}, "two": {Rate: 500, Burst: 500}})
+}
+
+// TestPlannedStopCutsNothing stops one VM under load as planned. No request is
+// cut, refused or lost.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3, 4)
+	b.start(3)
+	b.awaitAllowance()
+	reports := b.traffic(12 * time.Second)
+	time.Sleep(time.Second)
+	b.vms[0].host.Drain()
+	is.NoErr(<-b.vms[0].done) // the process ends by itself
+	accounts, promises := b.judge(<-reports)
+	is.True(promises.IsKept())
+	for _, account := range accounts {
+		is.True(account.Sent > 500)
+		is.Equal(account.Good, account.Sent)
+	}
+}
+
+// TestKilledVM ends a VM without warning. Callers recover and no promise
+// breaks; requests that the VM worked on may fail.
+func TestKilledVM(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3, 4)
+	b.start(3)
+	b.awaitAllowance()
+	reports := b.traffic(8 * time.Second)
+	time.Sleep(time.Second)
+	b.vms[2].cancel()
+	report := <-reports
+	_, promises := b.judge(report)
+	is.True(promises.IsKept())
+	late := 0
+	for _, result := range report.Results {
+		if result.At > 7*time.Second && result.Status == http.StatusOK {
+			late++
+		}
+	}
+	is.True(late > 50) // the callers go on with the other VMs
+}
+
+// TestWithdrawnKey withdraws a key during an upload on an open connection. The
+// upload is cut off, and later requests are refused everywhere.
+func TestWithdrawnKey(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 2)
+	b.start(2)
+	b.awaitAllowance()
+	reader, writer := io.Pipe()
+	request, err := http.NewRequest(http.MethodPost, "http://"+b.vms[0].settings.Callers.String()+"/orders/scan", reader)
+	is.NoErr(err)
+	request.Header.Set(ferry.HeaderKey, key("two"))
+	statuses := make(chan int, 1)
+	go func() {
+		answer, err := http.DefaultClient.Do(request)
+		if err != nil {
+			statuses <- 0
+			return
+		}
+		_ = answer.Body.Close()
+		statuses <- answer.StatusCode
+	}()
+	piece := make([]byte, 100<<10)
+	_, err = writer.Write(piece)
+	is.NoErr(err)
+	b.inventory.Version, b.inventory.Accounts = 2, b.inventory.Accounts[:1]
+	b.publish()
+	b.await("the key is refused everywhere", func() bool {
+		for _, v := range b.vms {
+			if status, outcome := v.call(http.MethodGet, "/advice/x", key("two")); status != http.StatusUnauthorized || outcome != "NotRun" {
+				return false
+			}
+		}
+		return true
+	})
+	go func() {
+		for range 100 {
+			if _, err := writer.Write(piece); err != nil {
+				return
+			}
+		}
+		_ = writer.Close()
+	}()
+	is.True(<-statuses != http.StatusOK)
+	for _, target := range b.targets {
+		is.Equal(target.Report().Keys, 0)
+	}
+	status, _ := b.vms[0].call(http.MethodGet, "/advice/x", key("one"))
+	is.Equal(status, http.StatusOK) // the other account is served
+}
+
+// TestRestartBesideStalePlatform restarts a VM while the platform serves the
+// old version. The VM takes the new one from its peers and never serves the old.
+func TestRestartBesideStalePlatform(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3, 2)
+	b.start(3)
+	b.awaitAllowance()
+	b.platform.SetMode(fake.ModeStale)
+	b.platform.SetMode(fake.ModeUp)
+	old := b.inventory.Accounts
+	b.inventory.Version, b.inventory.Accounts = 2, old[:1]
+	b.publish()
+	b.await("version 2 is in force", func() bool {
+		for _, v := range b.vms {
+			if !strings.HasPrefix(v.host.Status().Stamp, "2-") {
+				return false
+			}
+		}
+		return true
+	})
+	// The platform goes back to version 1.
+	b.inventory.Version, b.inventory.Accounts = 1, old
+	b.publish()
+	v := b.vms[1]
+	v.cancel()
+	<-v.done
+	b.launch(v)
+	served := 0
+	b.await("the VM serves again", func() bool {
+		status, _ := v.call(http.MethodGet, "/advice/x", key("two"))
+		if status == http.StatusOK {
+			served++
+		}
+		return v.host.Status().Ready
+	})
+	is.Equal(served, 0) // the withdrawn account was never served
+	is.True(strings.HasPrefix(v.host.Status().Stamp, "2-"))
+	status, _ := v.call(http.MethodGet, "/advice/x", key("two"))
+	is.Equal(status, http.StatusUnauthorized)
+}
+
+// TestPlatformAway takes the platform away and restarts every VM in turn.
+func TestPlatformAway(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3, 2)
+	b.start(3)
+	b.awaitAllowance()
+	b.platform.SetMode(fake.ModeDown)
+	for _, v := range b.vms {
+		v.cancel()
+		<-v.done
+		b.launch(v)
+		b.await("the VM serves without the platform", func() bool { return v.host.Status().Ready })
+		is.True(strings.HasPrefix(v.host.Status().Stamp, "1-"))
+	}
+	b.awaitAllowance()
+}
+
+// TestForeignPeers sends nonsense and foreign certificates to the listener for
+// peers. The fleet goes on.
+func TestForeignPeers(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 1)
+	b.peerTLS = writeAuthority(t, t.TempDir())
+	b.start(2)
+	b.awaitAllowance()
+	address := b.vms[0].settings.Peers.String()
+	for _, nonsense := range []string{"GET / HTTP/1.1\r\n\r\n", strings.Repeat("\x00", 100), strings.Repeat("\xff", 1<<16)} {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		_, _ = io.WriteString(conn, nonsense)
+		is.NoErr(conn.SetDeadline(time.Now().Add(patience)))
+		_, err = io.Copy(io.Discard, conn)
+		is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // the connection is ended
+		_ = conn.Close()
+	}
+	foreign, err := cert.Load(writeAuthority(t, t.TempDir()))
+	is.NoErr(err)
+	dial, _ := foreign.PeerConfigs()
+	dial.VerifyConnection = nil
+	conn, err := tls.Dial("tcp", address, dial)
+	if err == nil {
+		// In TLS 1.3 the refusal of the client's certificate shows at the first read.
+		is.NoErr(conn.SetDeadline(time.Now().Add(patience)))
+		_, err = conn.Read(make([]byte, 1))
+	}
+	is.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
+	is.Equal(b.vms[0].host.Status().Up, 2)
+}
+
+// TestAdmin asks the administration API with and without the operator key.
+func TestAdmin(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 1)
+	b.start(1)
+	get := func(method, path, keyText, body string) (int, []byte) {
+		request, err := http.NewRequest(method, "http://"+b.vms[0].settings.Admin.String()+path, strings.NewReader(body))
+		is.NoErr(err)
+		request.Header.Set("Content-Type", "application/json")
+		if keyText != "" {
+			request.Header.Set(ferry.HeaderKey, keyText)
+		}
+		answer, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		defer func() { _ = answer.Body.Close() }()
+		text, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		return answer.StatusCode, text
+	}
+	for _, keyText := range []string{"", "wrong"} {
+		status, _ := get(http.MethodGet, "/status", keyText, "")
+		is.Equal(status, http.StatusUnauthorized)
+	}
+	for _, path := range []string{"/status", "/members", "/targets", "/inventory"} {
+		status, text := get(http.MethodGet, path, "operator", "")
+		is.Equal(status, http.StatusOK)
+		is.True(json.Valid(text))
+		is.True(!strings.Contains(string(text), fake.KeyMark)) // keys are never shown
+	}
+	status, text := get(http.MethodGet, "/metrics", "operator", "")
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(string(text), "ferry_requests_total"))
+	status, _ = get(http.MethodPut, "/log-level", "operator", `{"Level": "Loud"}`)
+	is.Equal(status, http.StatusBadRequest)
+	status, _ = get(http.MethodPut, "/log-level", "operator", `{"Level": "Debug"}`)
+	is.Equal(status, http.StatusOK)
+	is.Equal(b.vms[0].host.level.Level(), slog.LevelDebug)
+}
