queue: sleep while no request waits

Change: the queue polls only while requests wait, the pools tick slowly while no account is in use; ferrylab scale measures the control of idle fleets.

--- a/cmd/ferrylab/main.go
+++ b/cmd/ferrylab/main.go
@@ -7,6 +7,7 @@
 //	ferrylab target --listen ADDRESS --name NAME
 //	ferrylab load --seed-address ADDRESS --key KEY --path PATH
 //	ferrylab demo --server FILE
+//	ferrylab scale --server FILE --vms 6 --vms 36
 package main
 
 import (
@@ -36,7 +37,7 @@
 		Name:                  "ferrylab",
 		Usage:                 "stand-ins, load and the demonstration of monsoonferry",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{platformCommand(), targetCommand(), loadCommand(), demoCommand()},
+		Commands:              []*cli.Command{platformCommand(), targetCommand(), loadCommand(), demoCommand(), scaleCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "ferrylab:", trace.UserMessage(err))
@@ -199,3 +200,39 @@
 	encoder.SetIndent("", "  ")
 	return trace.Wrap(encoder.Encode(value))
 }
+
+func scaleCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "scale",
+		Usage: "measure what control costs an idle VM in fleets of several sizes",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "server", Usage: "`FILE` of the monsoonferry program", Value: "bin/monsoonferry"},
+			&cli.IntSliceFlag{Name: "vms", Usage: "`NUMBER` of VMs; may be given several times", Value: []int{6, 12, 24, 36}},
+			&cli.IntFlag{Name: "accounts", Usage: "client accounts that are published and not used"},
+			&cli.IntFlag{Name: "targets", Usage: "targets that are published and not used"},
+			&cli.DurationFlag{Name: "period", Usage: "time of each measurement", Value: 10 * time.Second},
+		},
+		Action: runScale,
+	}
+}
+
+func runScale(ctx context.Context, command *cli.Command) error {
+	lab, err := os.Executable()
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	for _, vms := range command.IntSlice("vms") {
+		directory, err := os.MkdirTemp("", "ferrylab-")
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		config := demo.Config{Server: command.String("server"), Lab: lab, Directory: directory, Progress: os.Stderr}
+		size := demo.ScaleConfig{VMs: vms, Accounts: command.Int("accounts"), Targets: command.Int("targets"), Period: command.Duration("period")}
+		result, err := demo.Scale(ctx, config, size)
+		if err = errors.Join(err, os.RemoveAll(directory)); err != nil {
+			return err
+		}
+		result.Print(os.Stdout)
+	}
+	return nil
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -67,7 +67,7 @@
 
 // Times of a run.
 const (
-	readyTimeout  = 15 * time.Second
+	readyTimeout  = 30 * time.Second
 	trafficTime   = 22 * time.Second
 	grayAt        = 3 * time.Second
 	killAt        = 8 * time.Second
@@ -253,7 +253,7 @@
 func (f *fleet) awaitReady(ctx context.Context) error {
 	_, err := f.await(ctx, func() bool {
 		for _, vm := range f.vms {
-			if status, ok := f.status(ctx, vm); !ok || !status.Ready || status.Up != vmCount {
+			if status, ok := f.status(ctx, vm); !ok || !status.Ready || status.Up != f.count {
 				return false
 			}
 		}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -81,11 +81,16 @@
 	vms       []*vm
 	version   uint64
 	withdrawn bool
+	// count is the number of VMs.
+	count int
+	// extraAccounts and extraTargets are published and not used.
+	extraAccounts int
+	extraTargets  int
 }
 
 func newFleet(config Config) *fleet {
 	return &fleet{
-		config: config, started: time.Now(),
+		config: config, started: time.Now(), count: vmCount,
 		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableCompression: true}},
 	}
 }
@@ -132,7 +137,7 @@
 	if err = f.awaitListening(ctx); err != nil {
 		return err
 	}
-	for i := range vmCount {
+	for i := range f.count {
 		if err = f.prepareVM(fmt.Sprintf("vm-%d", i), all[i%len(all)].ID); err != nil {
 			return err
 		}
@@ -320,7 +325,7 @@
 
 // inventory returns the inventory of a run in its current version.
 func (f *fleet) inventory() *ferry.Inventory {
-	inventory := &ferry.Inventory{Version: f.version, MaxVMs: vmCount, Places: places()}
+	inventory := &ferry.Inventory{Version: f.version, MaxVMs: f.count, Places: places()}
 	for _, id := range []ferry.ServiceID{"advice", "orders", "echo"} {
 		inventory.Services = append(inventory.Services, ferry.Service{ID: id, Rules: ferry.Rules{}.Normal()})
 	}
@@ -337,6 +342,7 @@
 		}
 		inventory.Accounts = append(inventory.Accounts, account)
 	}
+	f.addExtras(inventory)
 	slices.SortFunc(inventory.Accounts, func(a, b ferry.Account) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	inventory.Routes = []ferry.Route{
 		{ID: "advice", PathPrefix: "/advice/", Service: "advice", IdempotentMethods: []string{http.MethodGet}, Deadline: 5 * time.Second},
@@ -346,6 +352,23 @@
 	return inventory
 }
 
+// addExtras publishes accounts and targets that no request uses.
+func (f *fleet) addExtras(inventory *ferry.Inventory) {
+	for i := range f.extraAccounts {
+		id := fmt.Sprintf("extra-%05d", i)
+		inventory.Accounts = append(inventory.Accounts, ferry.Account{
+			ID: ferry.AccountID(id), Rate: float64(10 + f.version), Burst: 10, Keys: []ferry.KeyHash{hashOf(id)},
+		})
+	}
+	for i := range f.extraTargets {
+		inventory.Targets = append(inventory.Targets, ferry.Target{
+			ID: ferry.TargetID(fmt.Sprintf("extra-%04d", i)), Service: "echo", Place: inventory.Places[i%len(inventory.Places)].ID,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 1), Slots: slots,
+			MaxConnections: conf.DefaultMaxConnections,
+		})
+	}
+}
+
 // seeds returns the addresses at which callers ask first.
 func (f *fleet) seeds() (seeds []netip.AddrPort) {
 	for _, v := range f.vms {
--- /dev/null
+++ b/demo/scale.go
@@ -0,0 +1,189 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"monsoonferry.org/ferry"
+)
+
+// ScaleConfig is the size of an idle fleet whose control is measured.
+type ScaleConfig struct {
+	VMs      int
+	Accounts int
+	Targets  int
+	// Period is the time of the measurement.
+	Period time.Duration
+}
+
+// ScaleResult is what control costs one VM, as the mean over all VMs.
+type ScaleResult struct {
+	VMs      int
+	Accounts int
+	Targets  int
+	// CPUShare is the part of a core.
+	CPUShare float64
+	// ResidentMB is the resident memory.
+	ResidentMB float64
+	// SentPerSecond and ReceivedPerSecond are bytes between VMs.
+	SentPerSecond     float64
+	ReceivedPerSecond float64
+	// PlatformCallsPerSecond counts the calls of the whole fleet.
+	PlatformCallsPerSecond float64
+	// ForceSeconds is the time until a change was in force on every VM.
+	ForceSeconds float64
+}
+
+// scaleSettle is the time after start in which leases and views settle.
+const scaleSettle = 8 * time.Second
+
+// Scale runs a fleet without traffic and measures its control.
+func Scale(ctx context.Context, config Config, size ScaleConfig) (result ScaleResult, err error) {
+	f := newFleet(config)
+	f.count, f.extraAccounts, f.extraTargets = size.VMs, size.Accounts, size.Targets
+	defer f.stop()
+	if err = f.start(ctx); err != nil {
+		return result, err
+	}
+	if err = f.awaitReady(ctx); err != nil {
+		return result, err
+	}
+	if err = sleep(ctx, scaleSettle); err != nil {
+		return result, err
+	}
+	before, err := f.sample(ctx)
+	if err != nil {
+		return result, err
+	}
+	if err = sleep(ctx, size.Period); err != nil {
+		return result, err
+	}
+	after, err := f.sample(ctx)
+	if err != nil {
+		return result, err
+	}
+	seconds, vms := size.Period.Seconds(), float64(size.VMs)
+	result = ScaleResult{
+		VMs: size.VMs, Accounts: size.Accounts, Targets: size.Targets,
+		CPUShare:               (after.cpu - before.cpu) / seconds / vms,
+		ResidentMB:             after.resident / vms,
+		SentPerSecond:          (after.sent - before.sent) / seconds / vms,
+		ReceivedPerSecond:      (after.received - before.received) / seconds / vms,
+		PlatformCallsPerSecond: (after.calls - before.calls) / seconds,
+	}
+	if err = f.publish(ctx); err != nil {
+		return result, err
+	}
+	result.ForceSeconds, err = f.await(ctx, func() bool { return f.inForce(ctx) }, readyTimeout)
+	return result, err
+}
+
+// usage sums up what the processes of all VMs have used.
+type usage struct {
+	cpu, resident, sent, received, calls float64
+}
+
+// callsAnswer is the answer of the platform about its calls.
+type callsAnswer struct{ Calls uint64 }
+
+func (f *fleet) sample(ctx context.Context) (total usage, err error) {
+	for _, v := range f.vms {
+		var cpu, resident float64
+		if cpu, resident, err = processUsage(v.command.Process.Pid); err != nil {
+			return total, err
+		}
+		total.cpu += cpu
+		total.resident += resident
+		var sent, received float64
+		if sent, received, err = f.peerBytes(ctx, v); err != nil {
+			return total, err
+		}
+		total.sent += sent
+		total.received += received
+	}
+	var answer callsAnswer
+	if err = f.get(ctx, f.platform.address, "/control/calls", &answer); err != nil {
+		return total, err
+	}
+	total.calls = float64(answer.Calls)
+	return total, nil
+}
+
+const (
+	// clockTicks is the number of ticks per second in which Linux counts
+	// processor time.
+	clockTicks = 100
+	// userField is the position of the user time behind the name in a stat file.
+	userField = 11
+)
+
+// processUsage returns processor seconds and resident megabytes of a process.
+func processUsage(pid int) (cpu, resident float64, err error) {
+	var stat, status []byte
+	if stat, err = os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err != nil {
+		return 0, 0, trace.ConvertSystemError(err)
+	}
+	if status, err = os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)); err != nil {
+		return 0, 0, trace.ConvertSystemError(err)
+	}
+	_, behindName, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(behindName)
+	for _, field := range fields[userField : userField+2] {
+		var ticks float64
+		if ticks, err = strconv.ParseFloat(field, 64); err != nil {
+			return 0, 0, trace.Wrap(err)
+		}
+		cpu += ticks / clockTicks
+	}
+	for line := range strings.SplitSeq(string(status), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			var kilobytes float64
+			if kilobytes, err = strconv.ParseFloat(strings.Fields(rest)[0], 64); err != nil {
+				return 0, 0, trace.Wrap(err)
+			}
+			resident = kilobytes / 1024
+		}
+	}
+	return cpu, resident, nil
+}
+
+// peerBytes reads the bytes between VMs from the metrics of a VM.
+func (f *fleet) peerBytes(ctx context.Context, v *vm) (sent, received float64, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.address+"/metrics", nil)
+	if err != nil {
+		return 0, 0, trace.Wrap(err)
+	}
+	request.Header.Set(ferry.HeaderKey, operatorKey)
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return 0, 0, trace.Wrap(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	scanner := bufio.NewScanner(io.LimitReader(answer.Body, 1<<20))
+	for scanner.Scan() {
+		name, text, _ := strings.Cut(scanner.Text(), " ")
+		value, _ := strconv.ParseFloat(text, 64)
+		switch name {
+		case "ferry_peer_sent_bytes":
+			sent = value
+		case "ferry_peer_received_bytes":
+			received = value
+		}
+	}
+	return sent, received, trace.Wrap(scanner.Err())
+}
+
+// Print writes the result as one line.
+func (r ScaleResult) Print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "VMs %3d  accounts %6d  targets %5d  CPU %.2f%%  memory %.1f MB  sent %.0f B/s  received %.0f B/s  platform %.2f calls/s  in force %.2f s\n",
+		r.VMs, r.Accounts, r.Targets, 100*r.CPUShare, r.ResidentMB, r.SentPerSecond, r.ReceivedPerSecond, r.PlatformCallsPerSecond, r.ForceSeconds)
+}
--- a/host/allow.go
+++ b/host/allow.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// poolTick is the time between two ticks of the pools.
+	// poolTick is the time between two ticks of the pools, and idleTick that
+	// while no client account is in use.
 	poolTick = 20 * time.Millisecond
+	idleTick = 100 * time.Millisecond
 	// askInterval is the time between two asks for shares.
 	askInterval = 500 * time.Millisecond
 	// askAgain is the time after which VMs that have not lent are asked again.
@@ -112,14 +114,19 @@
 
 // run owns lender and holder until ctx ends.
 func (l *allowanceLoop) run(ctx context.Context) error {
-	ticker := time.NewTicker(poolTick)
+	ticker := time.NewTicker(idleTick)
 	defer ticker.Stop()
 	for {
 		select {
 		case event := <-l.events:
 			l.handle(event)
+		case <-l.pools.Started():
+			ticker.Reset(poolTick)
 		case <-ticker.C:
 			l.tick()
+			if l.pools.Count() == 0 {
+				ticker.Reset(idleTick)
+			}
 		case <-ctx.Done():
 			return nil
 		}
--- a/host/host.go
+++ b/host/host.go
@@ -131,7 +131,7 @@
 	group.Go(func() error {
 		return h.control.watch(groupCtx, conf.ManifestName, h.control.takeManifest(groupCtx))
 	})
-	group.Go(func() error { return h.pollQueue(groupCtx) })
+	group.Go(func() error { return h.waiting.Run(groupCtx) })
 	group.Go(func() error { return h.serveAdmin(groupCtx, admins) })
 	group.Go(func() error { return h.callers.serve(groupCtx, callers, h.callerTLS.CallerConfig()) })
 	group.Go(func() error {
@@ -174,22 +174,6 @@
 	}
 }
 
-// queueTick is the time between two looks for targets that became free.
-const queueTick = 5 * time.Millisecond
-
-func (h *Host) pollQueue(ctx context.Context) error {
-	ticker := time.NewTicker(queueTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			h.waiting.Poll()
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 // Drain starts the planned stop. Later calls have no effect.
 func (h *Host) Drain() {
 	select {
--- a/limit/pools.go
+++ b/limit/pools.go
@@ -25,11 +25,13 @@
 	placement atomic.Pointer[Placement]
 	sequence  atomic.Uint64
 	pools     sync.Map
+	// started signals that an account has come into use.
+	started chan struct{}
 }
 
 // NewPools returns pools without grants.
 func NewPools(self Process, clock ferry.Clock, sender Sender) *Pools {
-	p := &Pools{self: self, clock: clock, sender: sender}
+	p := &Pools{self: self, clock: clock, sender: sender, started: make(chan struct{}, 1)}
 	p.placement.Store(&Placement{})
 	return p
 }
@@ -81,7 +83,12 @@
 	}
 }
 
-// Tick lets time pass. It should be called about every 20 ms.
+// Started returns a channel that receives when an account comes into use, so
+// that the owner can call Tick more often.
+func (p *Pools) Started() <-chan struct{} { return p.started }
+
+// Tick lets time pass. It should be called about every 20 ms while accounts are
+// in use.
 func (p *Pools) Tick(now ferry.Moment) {
 	p.pools.Range(func(key, value any) bool {
 		ask, isIdle := value.(*pool).tick(now, p.next)
@@ -107,7 +114,13 @@
 	if found, ok := p.pools.Load(id); ok {
 		return found.(*pool)
 	}
-	found, _ := p.pools.LoadOrStore(id, &pool{account: id, pending: map[uint64]pendingAsk{}})
+	found, isOld := p.pools.LoadOrStore(id, &pool{account: id, pending: map[uint64]pendingAsk{}})
+	if !isOld {
+		select {
+		case p.started <- struct{}{}:
+		default:
+		}
+	}
 	return found.(*pool)
 }
 
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -18,8 +18,8 @@
 //	// send the request
 //	fair.Release(now, pick, result)
 //
-// The owner calls Poll every few milliseconds, because targets also become
-// free through other VMs.
+// Run looks for free targets every few milliseconds while requests wait,
+// because targets also become free through other VMs.
 package queue
 
 import (
@@ -75,11 +75,13 @@
 	balancer ferry.Balancer
 	clock    ferry.Clock
 	lines    sync.Map
+	// joined signals that a request has begun to wait.
+	joined chan struct{}
 }
 
 // NewFair returns a queue in front of the balancer.
 func NewFair(balancer ferry.Balancer, clock ferry.Clock) *Fair {
-	return &Fair{balancer: balancer, clock: clock}
+	return &Fair{balancer: balancer, clock: clock, joined: make(chan struct{}, 1)}
 }
 
 // Choose reserves a target and waits for one in fair order while all are busy.
@@ -97,6 +99,10 @@
 	if t == nil {
 		return ferry.Pick{}, overload("too many requests wait for the service")
 	}
+	select {
+	case f.joined <- struct{}{}:
+	default:
+	}
 	l.dispatch(f)
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
@@ -121,8 +127,31 @@
 	}
 }
 
-// Poll serves waiting requests for which a target has become free.
-func (f *Fair) Poll() {
+// pollInterval is the time between two looks for targets that became free.
+const pollInterval = 5 * time.Millisecond
+
+// Run serves waiting requests as targets become free, until ctx ends. It
+// sleeps while no request waits.
+func (f *Fair) Run(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.joined:
+		case <-ctx.Done():
+			return nil
+		}
+		ticker.Reset(pollInterval)
+		for f.Waiting() > 0 && ctx.Err() == nil {
+			<-ticker.C
+			f.poll()
+		}
+		ticker.Stop()
+	}
+}
+
+// poll serves waiting requests for which a target has become free.
+func (f *Fair) poll() {
 	f.lines.Range(func(_, value any) bool {
 		if l := value.(*line); l.waiting.Load() > 0 {
 			l.dispatch(f)
