gossip: ask for each part once

Cause: with 27000 accounts a change was not in force within 30 s. The controller asked for every missing part again each second, and the repeated fetches used up the read budget of 2 calls a second. Ruled out: the time to decode (0.7 s for 33 parts); lost parts (none). Change: a fetch is repeated only after its failure or, from other VMs, after a second; the read budget is 4 calls a second with a burst of 128, at most 1680 a second for 420 VMs.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -23,6 +23,7 @@
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/admin"
 	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/fake"
 	"monsoonferry.org/ferry/load"
 )
 
@@ -161,12 +162,11 @@
 
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // A port is only looked up.
+	address, err := fake.FreeAddress()
 	if err != nil {
-		return "", trace.ConvertSystemError(err)
+		return "", trace.Wrap(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return address.String(), nil
 }
 
 // launch starts a program whose log goes to a file.
--- /dev/null
+++ b/fake/address.go
@@ -0,0 +1,39 @@
+package fake
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+)
+
+// Ports below the range from which the system takes the ports of outgoing
+// connections.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+	// portStride separates the ports of processes that run at the same time.
+	portStride = 97
+)
+
+// taken counts the ports that this process has looked at.
+var taken atomic.Uint32
+
+var errNoPort = errors.New("no loopback port is free")
+
+// FreeAddress returns a loopback address on which nothing listens and which no
+// outgoing connection will take.
+func FreeAddress() (netip.AddrPort, error) {
+	const count = lastPort - firstPort
+	for range count {
+		offset := uint32(os.Getpid()*portStride) + taken.Add(1)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+offset%count))
+		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+		if err != nil {
+			continue
+		}
+		return address, listener.Close()
+	}
+	return netip.AddrPort{}, errNoPort
+}
--- a/gossip/controller.go
+++ b/gossip/controller.go
@@ -16,6 +16,9 @@
 	// fetchRetry is the time after which an unanswered fetch is repeated from
 	// another source.
 	fetchRetry = time.Second
+	// platformRetry is that time while only the platform has the value. It is
+	// longer than the platform's client keeps trying.
+	platformRetry = 30 * time.Second
 )
 
 // candidate is a manifest whose parts are not all here yet.
@@ -25,8 +28,16 @@
 	raw      []byte
 	sources  []Source
 	next     int
-	asked    ferry.Moment
-	isAsked  bool
+	// asked tells when each missing part was asked for.
+	asked map[string]ferry.Moment
+}
+
+// retryAfter returns the time after which an unanswered fetch is repeated.
+func (p *candidate) retryAfter() time.Duration {
+	if len(p.sources) == 1 && p.sources[0] == "" {
+		return platformRetry
+	}
+	return fetchRetry
 }
 
 type peer struct {
@@ -117,7 +128,7 @@
 		return nil
 	}
 	if c.pending == nil || stamp.IsAfter(c.pending.stamp) {
-		c.pending = &candidate{stamp: stamp, manifest: manifest, raw: event.Body, sources: []Source{event.From}}
+		c.pending = &candidate{stamp: stamp, manifest: manifest, raw: event.Body, sources: []Source{event.From}, asked: map[string]ferry.Moment{}}
 	}
 	return nil
 }
@@ -137,12 +148,12 @@
 		return
 	}
 	c.parts[event.Name] = event.Body
-	c.pending.isAsked = false
 }
 
 func (c *Controller) onMissing(event MissingEvent) {
 	if c.pending != nil && slices.Contains(c.pending.manifest.Parts, event.Name) {
 		c.pending.next++
+		delete(c.pending.asked, event.Name)
 	}
 }
 
@@ -180,25 +191,30 @@
 	if p == nil {
 		return nil
 	}
-	var missing []string
+	isWhole, isLate := true, false
+	var due []string
 	for _, name := range p.manifest.Parts {
-		if c.parts[name] == nil {
-			missing = append(missing, name)
+		if c.parts[name] != nil {
+			continue
 		}
+		isWhole = false
+		asked, wasAsked := p.asked[name]
+		if wasAsked && now.Since(asked) < p.retryAfter() {
+			continue
+		}
+		isLate = isLate || wasAsked
+		p.asked[name] = now
+		due = append(due, name)
 	}
-	if len(missing) == 0 {
+	if isWhole {
 		return c.apply()
 	}
-	if p.isAsked && now.Since(p.asked) < fetchRetry {
-		return nil
-	}
-	if p.isAsked {
+	if isLate {
 		p.next++
 	}
-	p.isAsked, p.asked = true, now
 	from := p.sources[p.next%len(p.sources)]
-	actions := make([]Action, 0, len(missing))
-	for _, name := range missing {
+	actions := make([]Action, 0, len(due))
+	for _, name := range due {
 		actions = append(actions, FetchAction{From: from, Name: name})
 	}
 	return actions
--- a/gossip/controller_test.go
+++ b/gossip/controller_test.go
@@ -359,3 +359,29 @@
 	w.step("vm-0", ListEvent{Known: true, Listed: 1})
 	is.Equal(w.ready["vm-0"].Version, uint64(1))
 }
+
+// TestPartsAreAskedForOnce lets time pass while the platform is slow. Repeated
+// fetches would use up the read budget.
+func TestPartsAreAskedForOnce(t *testing.T) {
+	is := is.New(t)
+	c := NewController()
+	fetches := 0
+	step := func(at time.Duration, event Event) {
+		for _, action := range c.Step(ferry.Moment{Steady: at}, event) {
+			if _, ok := action.(FetchAction); ok {
+				fetches++
+			}
+		}
+	}
+	first := version(1, 10)
+	step(0, ManifestEvent{Body: first.manifest})
+	is.Equal(fetches, len(first.parts))
+	for i := range 100 {
+		step(time.Duration(i)*100*time.Millisecond, TickEvent{})
+	}
+	is.Equal(fetches, len(first.parts))
+	for name := range first.parts {
+		step(11*time.Second, MissingEvent{Name: name})
+	}
+	is.Equal(fetches, 2*len(first.parts)) // each failure asks once more
+}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -112,12 +112,11 @@
 
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := fake.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	return address
 }
 
 // launch starts the process of a VM anew.
--- a/store/client.go
+++ b/store/client.go
@@ -39,8 +39,8 @@
 // Bounds of the calls to the platform.
 const (
 	// callsPerSecond and callBurst are the read budget of one VM.
-	callsPerSecond = 2
-	callBurst      = 64
+	callsPerSecond = 4
+	callBurst      = 128
 	// watchTime is the time for which the platform holds a watch open.
 	watchTime = 20 * time.Second
 	// answerTime is the time beyond watchTime after which a call has failed.
