auth: remove keys in Base64 from the query too

Cause: TestScrubLeavesNoTrace found a key in Base64 in a query parameter at the target; headers were searched for that form, parameters were not. Change: one function looks for all forms in headers, parameters and the path.

--- a/auth/filter.go
+++ b/auth/filter.go
@@ -29,7 +29,7 @@
 		return UnknownKey()
 	}
 	if inPath := Scrub(request.Header, request.URL, key); inPath {
-		return &ferry.Refusal{
+		return &ferry.RefusalError{
 			Status: http.StatusBadRequest, Reason: ferry.ReasonKeyInPath, Outcome: ferry.OutcomeNotRun,
 			Detail: "the path contains the key",
 		}
@@ -50,8 +50,8 @@
 }
 
 // UnknownKey returns the refusal of a key that is not or no longer in force.
-func UnknownKey() *ferry.Refusal {
-	return &ferry.Refusal{
+func UnknownKey() *ferry.RefusalError {
+	return &ferry.RefusalError{
 		Status: http.StatusUnauthorized, Reason: ferry.ReasonUnknownKey, Outcome: ferry.OutcomeNotRun,
 		Detail: "the key is not known or has been withdrawn",
 	}
--- a/auth/key.go
+++ b/auth/key.go
@@ -16,18 +16,18 @@
 )
 
 // FromRequest returns the key that came with the request. It returns a
-// *ferry.Refusal when there is no key or when several different keys came.
+// *ferry.RefusalError when there is no key or when several different keys came.
 func FromRequest(request *http.Request) (string, error) {
 	candidates := presented(request.Header)
 	if len(candidates) == 0 {
-		return "", &ferry.Refusal{
+		return "", &ferry.RefusalError{
 			Status: http.StatusUnauthorized, Reason: ferry.ReasonNoKey, Outcome: ferry.OutcomeNotRun,
 			Detail: "the route needs a key in the Ferry-Key header or as a bearer token",
 		}
 	}
 	for _, other := range candidates[1:] {
 		if other != candidates[0] {
-			return "", &ferry.Refusal{
+			return "", &ferry.RefusalError{
 				Status: http.StatusBadRequest, Reason: ferry.ReasonAmbiguousKey, Outcome: ferry.OutcomeNotRun,
 				Detail: "the request carries several different keys",
 			}
@@ -62,15 +62,16 @@
 	if key == "" {
 		return false
 	}
-	encoded := base64.StdEncoding.EncodeToString([]byte(key))
 	for name, values := range header {
-		header[name] = keepWithout(values, key, encoded)
+		header[name] = keepWithout(values, key)
 		if len(header[name]) == 0 {
 			delete(header, name)
 		}
 	}
-	target.RawQuery = scrubQuery(target.RawQuery, key)
-	return strings.Contains(target.Path, key)
+	if target.RawQuery != "" {
+		target.RawQuery = strings.Join(keepWithout(strings.Split(target.RawQuery, "&"), key), "&")
+	}
+	return holdsKey(target.Path, key)
 }
 
 // isOwnHeader reports whether name belongs to the fleet in any spelling.
@@ -80,33 +81,28 @@
 	return strings.HasPrefix(folded, ownPrefix)
 }
 
-// keepWithout returns the values that contain neither form of the key.
-func keepWithout(values []string, key, encoded string) []string {
+// keepWithout returns the values that do not hold the key.
+func keepWithout(values []string, key string) []string {
 	var kept []string
 	for _, value := range values {
-		if !strings.Contains(value, key) && !strings.Contains(value, encoded) && !containsEscaped(value, key) {
+		if !holdsKey(value, key) {
 			kept = append(kept, value)
 		}
 	}
 	return kept
 }
 
-func containsEscaped(value, key string) bool {
+// holdsKey reports whether a value holds the key plainly, escaped as in a URL
+// or in Base64.
+func holdsKey(value, key string) bool {
 	plain, err := url.QueryUnescape(value)
-	return err == nil && strings.Contains(plain, key)
-}
-
-// scrubQuery drops the parameters that contain the key and leaves the others
-// as they were sent.
-func scrubQuery(query, key string) string {
-	if query == "" {
-		return ""
+	if err != nil {
+		plain = value
 	}
-	var kept []string
-	for part := range strings.SplitSeq(query, "&") {
-		if !strings.Contains(part, key) && !containsEscaped(part, key) {
-			kept = append(kept, part)
+	for _, form := range []string{value, plain} {
+		if strings.Contains(form, key) || strings.Contains(form, base64.StdEncoding.EncodeToString([]byte(key))) {
+			return true
 		}
 	}
-	return strings.Join(kept, "&")
+	return false
 }
--- a/cmd/ferrylab/main.go
+++ b/cmd/ferrylab/main.go
@@ -31,6 +31,14 @@
 )
 
 func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "ferrylab:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+// run carries out the command line until a signal ends it.
+func run() error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	command := &cli.Command{
@@ -39,11 +47,7 @@
 		EnableShellCompletion: true,
 		Commands:              []*cli.Command{platformCommand(), targetCommand(), loadCommand(), demoCommand(), scaleCommand()},
 	}
-	if err := command.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "ferrylab:", trace.UserMessage(err))
-		cancel()
-		os.Exit(1)
-	}
+	return command.Run(ctx, os.Args)
 }
 
 // listenFlag names the address on which a stand-in listens.
--- a/cmd/monsoonferry/operate.go
+++ b/cmd/monsoonferry/operate.go
@@ -81,9 +81,9 @@
 		_, _ = fmt.Fprintf(w, "%s: accepted\n", name)
 		return false
 	}
-	var problems conf.Problems
+	var problems conf.ProblemsError
 	if !errors.As(err, &problems) {
-		problems = conf.Problems{{Path: "$", Text: err.Error()}}
+		problems = conf.ProblemsError{{Path: "$", Text: err.Error()}}
 	}
 	for _, problem := range problems {
 		_, _ = fmt.Fprintf(w, "%s: %s: %s\n", name, problem.Path, problem.Text)
--- a/cmd/monsoonferry/wire_gen.go
+++ b/cmd/monsoonferry/wire_gen.go
@@ -7,8 +7,9 @@
 package main
 
 import (
-	"github.com/VictoriaMetrics/metrics"
 	"io"
+
+	"github.com/VictoriaMetrics/metrics"
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/host"
--- a/conf/codec.go
+++ b/conf/codec.go
@@ -79,7 +79,7 @@
 const DefaultMaxConnections = 300
 
 // ParseInventory decodes and checks one inventory document. It returns
-// Problems when the document is not acceptable.
+// ProblemsError when the document is not acceptable.
 func ParseInventory(text []byte) (*ferry.Inventory, error) {
 	var document inventoryDocument
 	if err := decode(text, &document); err != nil {
@@ -90,7 +90,7 @@
 
 // acceptDocument maps a document and applies every rule of acceptance.
 func acceptDocument(document inventoryDocument) (*ferry.Inventory, error) {
-	var problems Problems
+	var problems ProblemsError
 	inventory := mapInventory(document, &problems)
 	validate(inventory, &problems)
 	if err := problems.orNil(); err != nil {
@@ -99,7 +99,7 @@
 	return inventory, nil
 }
 
-func mapInventory(document inventoryDocument, problems *Problems) *ferry.Inventory {
+func mapInventory(document inventoryDocument, problems *ProblemsError) *ferry.Inventory {
 	inventory := &ferry.Inventory{Version: document.Version, MaxVMs: document.MaxVMs}
 	for _, d := range document.Places {
 		inventory.Places = append(inventory.Places, ferry.Place{ID: ferry.PlaceID(d.ID), Region: ferry.RegionID(d.Region)})
@@ -123,7 +123,7 @@
 	return inventory
 }
 
-func mapService(path string, d serviceDocument, problems *Problems) ferry.Service {
+func mapService(path string, d serviceDocument, problems *ProblemsError) ferry.Service {
 	rules := ferry.Rules{
 		Floor:          d.Floor,
 		Sensitivity:    d.Sensitivity,
@@ -135,7 +135,7 @@
 	return ferry.Service{ID: ferry.ServiceID(d.ID), Rules: rules.Normal()}
 }
 
-func mapTarget(path string, d targetDocument, problems *Problems) ferry.Target {
+func mapTarget(path string, d targetDocument, problems *ProblemsError) ferry.Target {
 	connections := d.MaxConnections
 	if connections == 0 {
 		connections = DefaultMaxConnections
@@ -151,7 +151,7 @@
 	}
 }
 
-func mapAccount(path string, d accountDocument, problems *Problems) ferry.Account {
+func mapAccount(path string, d accountDocument, problems *ProblemsError) ferry.Account {
 	account := ferry.Account{ID: ferry.AccountID(d.ID), Rate: d.Rate, Burst: d.Burst}
 	for i, text := range d.Keys {
 		var hash ferry.KeyHash
@@ -166,7 +166,7 @@
 	return account
 }
 
-func mapRoute(path string, d routeDocument, problems *Problems) ferry.Route {
+func mapRoute(path string, d routeDocument, problems *ProblemsError) ferry.Route {
 	route := ferry.Route{
 		ID:                ferry.RouteID(d.ID),
 		Host:              d.Host,
@@ -186,7 +186,7 @@
 	return route
 }
 
-func parseDuration(path, text string, problems *Problems) time.Duration {
+func parseDuration(path, text string, problems *ProblemsError) time.Duration {
 	if text == "" {
 		return 0
 	}
@@ -201,7 +201,7 @@
 	return d
 }
 
-func parseAddress(path, text string, problems *Problems) netip.AddrPort {
+func parseAddress(path, text string, problems *ProblemsError) netip.AddrPort {
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
 		problems.add(path, "expected an IP address and port, found %q", text)
@@ -209,14 +209,14 @@
 	return address
 }
 
-// ParseVMList decodes the platform's list of VMs. It returns Problems when
+// ParseVMList decodes the platform's list of VMs. It returns ProblemsError when
 // the list is not acceptable.
 func ParseVMList(text []byte) (ferry.VMList, error) {
 	var document vmListDocument
 	if err := decode(text, &document); err != nil {
 		return ferry.VMList{}, err
 	}
-	var problems Problems
+	var problems ProblemsError
 	list := ferry.VMList{Version: document.Version}
 	seen := map[string]bool{}
 	for i, d := range document.VMs {
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -82,7 +82,7 @@
 			text := strings.Replace(valid, c.old, c.new, 1)
 			is.True(text != valid) // the case changes the inventory
 			_, err := ParseInventory([]byte(text))
-			var problems Problems
+			var problems ProblemsError
 			is.True(errors.As(err, &problems))
 			for _, problem := range problems {
 				if problem.Path == c.path && strings.Contains(problem.Text, c.text) {
@@ -98,7 +98,7 @@
 	is := is.New(t)
 	text := strings.NewReplacer(`"Slots": 4`, `"Slots": 0`, `"Rate": 50`, `"Rate": 0`, `"Place": "p1"`, `"Place": "x"`).Replace(valid)
 	_, err := ParseInventory([]byte(text))
-	var problems Problems
+	var problems ProblemsError
 	is.True(errors.As(err, &problems))
 	is.Equal(len(problems), 3)
 }
@@ -182,7 +182,7 @@
 	is.Equal(settings.OperatorKey, ferry.HashKey("test"))
 	bad := strings.NewReplacer(`"vm-1"`, `""`, `"Debug"`, `"Loud"`, `"Json"`, `"Xml"`, `true`, `false`, digest, "x", `["127.0.0.1:4"]`, `[]`).Replace(validSettings)
 	_, err = ParseSettings([]byte(bad))
-	var problems Problems
+	var problems ProblemsError
 	is.True(errors.As(err, &problems))
 	var paths []string
 	for _, p := range problems {
--- a/conf/doc.go
+++ b/conf/doc.go
@@ -15,7 +15,7 @@
 // # Usage
 //
 //	inventory, err := conf.ParseInventory(text)
-//	var problems conf.Problems
+//	var problems conf.ProblemsError
 //	if errors.As(err, &problems) {
 //		for _, problem := range problems {
 //			fmt.Println(problem.Path, problem.Text)
--- a/conf/manifest.go
+++ b/conf/manifest.go
@@ -34,14 +34,14 @@
 	Parts   []string
 }
 
-// ParseManifest decodes a manifest. It returns Problems when the manifest is
+// ParseManifest decodes a manifest. It returns ProblemsError when the manifest is
 // not acceptable.
 func ParseManifest(text []byte) (Manifest, error) {
 	var document manifestDocument
 	if err := decode(text, &document); err != nil {
 		return Manifest{}, err
 	}
-	var problems Problems
+	var problems ProblemsError
 	if document.Version == 0 {
 		problems.add("Version", "the version must be above zero")
 	}
@@ -69,9 +69,9 @@
 }
 
 // Assemble joins the parts of a manifest into an inventory. It returns
-// Problems when a part is missing, altered or not acceptable.
+// ProblemsError when a part is missing, altered or not acceptable.
 func Assemble(manifest Manifest, parts map[string][]byte) (*ferry.Inventory, error) {
-	var problems Problems
+	var problems ProblemsError
 	whole := inventoryDocument{Version: manifest.Version, MaxVMs: manifest.MaxVMs}
 	for i, name := range manifest.Parts {
 		path := fmt.Sprintf("Parts[%d]", i)
--- a/conf/problem.go
+++ b/conf/problem.go
@@ -20,11 +20,11 @@
 	Text string
 }
 
-// Problems is the error that lists every fault of a document.
-type Problems []Problem
+// ProblemsError is the error that lists every fault of a document.
+type ProblemsError []Problem
 
 // Error implements error.
-func (p Problems) Error() string {
+func (p ProblemsError) Error() string {
 	lines := make([]string, 0, len(p))
 	for _, problem := range p {
 		lines = append(lines, problem.Path+": "+problem.Text)
@@ -33,12 +33,12 @@
 }
 
 // add appends a problem.
-func (p *Problems) add(path, format string, args ...any) {
+func (p *ProblemsError) add(path, format string, args ...any) {
 	*p = append(*p, Problem{Path: path, Text: fmt.Sprintf(format, args...)})
 }
 
 // orNil returns p as an error, or nil when there is no problem.
-func (p Problems) orNil() error {
+func (p ProblemsError) orNil() error {
 	if len(p) == 0 {
 		return nil
 	}
@@ -48,7 +48,7 @@
 // decode reads text into document after it has checked that every field is
 // known, named once and of the right kind.
 func decode(text []byte, document any) error {
-	var problems Problems
+	var problems ProblemsError
 	if len(text) > MaxValueBytes {
 		problems.add("$", "the document has %d bytes, more than %d", len(text), MaxValueBytes)
 		return problems
@@ -57,8 +57,8 @@
 	decoder.UseNumber()
 	scanner := shapeScanner{decoder: decoder}
 	if err := scanner.value("$", reflect.TypeOf(document).Elem()); err != nil {
-		problems = append(scanner.problems, Problem{Path: "$", Text: err.Error()})
-		return problems
+		scanner.problems.add("$", "%v", err)
+		return scanner.problems
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		scanner.problems.add("$", "there is text after the document")
@@ -75,7 +75,7 @@
 // shapeScanner compares a JSON document with a Go type, token by token.
 type shapeScanner struct {
 	decoder  *json.Decoder
-	problems Problems
+	problems ProblemsError
 }
 
 // value checks the next value against kind. It returns an error only for text
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -68,13 +68,13 @@
 )
 
 // ParseSettings decodes and checks the settings of a process. It returns
-// Problems when they are not acceptable.
+// ProblemsError when they are not acceptable.
 func ParseSettings(text []byte) (Settings, error) {
 	var d settingsDocument
 	if err := decode(text, &d); err != nil {
 		return Settings{}, err
 	}
-	var problems Problems
+	var problems ProblemsError
 	settings := Settings{
 		ID:        ferry.VMID(d.ID),
 		Place:     ferry.PlaceID(d.Place),
@@ -98,7 +98,7 @@
 	if d.LogFormat != "" && settings.LogFormat != LogText && settings.LogFormat != LogJSON {
 		problems.add("LogFormat", "expected %s or %s, found %q", LogText, LogJSON, d.LogFormat)
 	}
-	key := mapAccount("$", accountDocument{Keys: []string{d.OperatorKey}}, &Problems{})
+	key := mapAccount("$", accountDocument{Keys: []string{d.OperatorKey}}, &ProblemsError{})
 	if len(key.Keys) == 1 {
 		settings.OperatorKey = key.Keys[0]
 	} else {
@@ -110,7 +110,7 @@
 	return settings, nil
 }
 
-func required(d settingsDocument, problems *Problems) {
+func required(d settingsDocument, problems *ProblemsError) {
 	if d.ID == "" {
 		problems.add("ID", "the field is required")
 	}
--- a/conf/validate.go
+++ b/conf/validate.go
@@ -8,7 +8,7 @@
 )
 
 // validate adds a problem for every rule that the inventory breaks.
-func validate(inventory *ferry.Inventory, problems *Problems) {
+func validate(inventory *ferry.Inventory, problems *ProblemsError) {
 	if inventory.Version == 0 {
 		problems.add("Version", "the version must be above zero")
 	}
@@ -29,7 +29,7 @@
 	validateRoutes(inventory.Routes, services, problems)
 }
 
-func checkID(path, id string, seen map[string]bool, problems *Problems) {
+func checkID(path, id string, seen map[string]bool, problems *ProblemsError) {
 	if id == "" {
 		problems.add(path+".ID", "the field is required")
 		return
@@ -40,13 +40,13 @@
 	seen[id] = true
 }
 
-func checkReference(path, id string, known map[string]bool, problems *Problems) {
+func checkReference(path, id string, known map[string]bool, problems *ProblemsError) {
 	if !known[id] {
 		problems.add(path, "%q does not exist", id)
 	}
 }
 
-func validateServices(services []ferry.Service, problems *Problems) map[string]bool {
+func validateServices(services []ferry.Service, problems *ProblemsError) map[string]bool {
 	seen := map[string]bool{}
 	for i, s := range services {
 		path := fmt.Sprintf("Services[%d]", i)
@@ -67,13 +67,13 @@
 // Above it, a target that errs at 20% could not be told apart.
 const maxBaselineErrors = 0.1
 
-func checkShare(path string, share float64, problems *Problems) {
+func checkShare(path string, share float64, problems *ProblemsError) {
 	if share < 0 || share > 1 {
 		problems.add(path, "the share must be between 0 and 1")
 	}
 }
 
-func validateTargets(targets []ferry.Target, services, places map[string]bool, problems *Problems) {
+func validateTargets(targets []ferry.Target, services, places map[string]bool, problems *ProblemsError) {
 	seen := map[string]bool{}
 	for i, t := range targets {
 		path := fmt.Sprintf("Targets[%d]", i)
@@ -92,7 +92,7 @@
 // minBurst is the smallest burst. Half of the VMs can then hold a whole token.
 const minBurst = 2
 
-func validateAccounts(accounts []ferry.Account, problems *Problems) {
+func validateAccounts(accounts []ferry.Account, problems *ProblemsError) {
 	seen := map[string]bool{}
 	owners := map[ferry.KeyHash]ferry.AccountID{}
 	for i, a := range accounts {
@@ -113,7 +113,7 @@
 	}
 }
 
-func validateRoutes(routes []ferry.Route, services map[string]bool, problems *Problems) {
+func validateRoutes(routes []ferry.Route, services map[string]bool, problems *ProblemsError) {
 	seen := map[string]bool{}
 	patterns := map[string]ferry.RouteID{}
 	for i, r := range routes {
--- a/control.go
+++ b/control.go
@@ -39,7 +39,7 @@
 // Limiter enforces the allowance of client accounts across all VMs.
 type Limiter interface {
 	// Admit takes one request of the allowance. It waits for the holder's
-	// word where it has to, and returns a *Refusal when there is no allowance.
+	// word where it has to, and returns a *RefusalError when there is no allowance.
 	Admit(ctx context.Context, account *Account) (Permit, error)
 }
 
@@ -74,7 +74,7 @@
 
 // Balancer chooses targets and learns from the result of each attempt.
 type Balancer interface {
-	// Choose reserves a slot on a target, or returns a *Refusal. Every pick
+	// Choose reserves a slot on a target, or returns a *RefusalError. Every pick
 	// must be given back with Release exactly once.
 	Choose(now Moment, choice Choice) (Pick, error)
 	// Release ends the attempt on the picked target.
--- a/exchange.go
+++ b/exchange.go
@@ -79,9 +79,9 @@
 	ReasonMalformed        Reason = "Malformed"
 )
 
-// Refusal is the error with which a filter ends a request that it does not
+// RefusalError is the error with which a filter ends a request that it does not
 // forward. Its zero value is not meaningful.
-type Refusal struct {
+type RefusalError struct {
 	// Status is the HTTP status code.
 	Status int
 	Reason Reason
@@ -93,7 +93,7 @@
 }
 
 // Error implements error.
-func (r *Refusal) Error() string {
+func (r *RefusalError) Error() string {
 	return fmt.Sprintf("refused with status %d (%s): %s", r.Status, r.Reason, r.Detail)
 }
 
@@ -122,7 +122,7 @@
 }
 
 // Filter is one step on the path of a request. It calls next to continue or
-// returns a *Refusal to end the request.
+// returns a *RefusalError to end the request.
 type Filter interface {
 	Filter(ctx context.Context, exchange *Exchange, next Handler) error
 }
--- a/fake/platform.go
+++ b/fake/platform.go
@@ -131,10 +131,10 @@
 	defer cancel()
 	for {
 		v, ok, mode, changed := p.read(name)
-		switch {
-		case mode == ModeDown:
+		if mode == ModeDown {
 			panic(http.ErrAbortHandler)
-		case mode == ModeSlow:
+		}
+		if mode == ModeSlow {
 			time.Sleep(slowDelay)
 		}
 		if ok && v.version > after {
--- a/fake/target.go
+++ b/fake/target.go
@@ -62,13 +62,12 @@
 	slots       int
 	serviceTime time.Duration
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	fault    Fault
-	faultAt  time.Time
-	busy     int
-	draining bool
-	report   TargetReport
+	mu      sync.Mutex
+	random  *rand.Rand
+	fault   Fault
+	faultAt time.Time
+	busy    int
+	report  TargetReport
 }
 
 // KeyMark is part of every key that callers of the stand-ins use. A target
--- a/gossip/controller_test.go
+++ b/gossip/controller_test.go
@@ -117,7 +117,7 @@
 	}
 	switch {
 	case body == nil:
-		w.step(id, MissingEvent{From: action.From, Name: action.Name})
+		w.step(id, MissingEvent(action))
 	case action.Name == conf.ManifestName:
 		w.step(id, ManifestEvent{From: action.From, Body: body})
 	default:
--- a/health/detect_test.go
+++ b/health/detect_test.go
@@ -215,8 +215,11 @@
 		name string
 		b    behavior
 	}{
-		{"err5", behavior{errors: 0.05}}, {"err20", behavior{errors: 0.2}}, {"err100", behavior{errors: 1}},
-		{"slow3", behavior{errors: healthy.errors, slow: 3}}, {"slow10", behavior{errors: healthy.errors, slow: 10}},
+		{"err5", behavior{errors: 0.05}},
+		{"err20", behavior{errors: 0.2}},
+		{"err100", behavior{errors: 1}},
+		{"slow3", behavior{errors: healthy.errors, slow: 3}},
+		{"slow10", behavior{errors: healthy.errors, slow: 10}},
 	} {
 		for _, rate := range []float64{10, 50} {
 			for _, pooled := range []bool{true, false} {
--- a/host/control.go
+++ b/host/control.go
@@ -244,7 +244,7 @@
 		value, err := l.store.Watch(ctx, action.Name, 0)
 		if err != nil {
 			l.log.Warn("part not read", slog.String("name", action.Name), slog.Any("error", err))
-			l.post(ctx, controlEvent{gossip: gossip.MissingEvent{From: action.From, Name: action.Name}})
+			l.post(ctx, controlEvent{gossip: gossip.MissingEvent(action)})
 			return
 		}
 		l.post(ctx, controlEvent{gossip: gossip.PartEvent{Name: action.Name, Body: value.Body}})
--- a/host/detect.go
+++ b/host/detect.go
@@ -375,8 +375,8 @@
 		return route.Status{Ejected: true}
 	case health.StageTrial:
 		return route.Status{Trial: true}
-	default:
-		progress := float64(ejection.Age) / float64(health.SlowStart)
-		return route.Status{Weight: coldWeight + (1-coldWeight)*min(1, progress)}
+	case health.StageSlowStart:
 	}
+	progress := float64(ejection.Age) / float64(health.SlowStart)
+	return route.Status{Weight: coldWeight + (1-coldWeight)*min(1, progress)}
 }
--- a/inventory.go
+++ b/inventory.go
@@ -8,13 +8,20 @@
 
 // Identifiers of the domain. Each is unique within its kind.
 type (
-	VMID      string
-	PlaceID   string
-	RegionID  string
+	// VMID names a VM.
+	VMID string
+	// PlaceID names a place.
+	PlaceID string
+	// RegionID names a region.
+	RegionID string
+	// ServiceID names a service.
 	ServiceID string
-	TargetID  string
+	// TargetID names a target.
+	TargetID string
+	// AccountID names a client account.
 	AccountID string
-	RouteID   string
+	// RouteID names a route.
+	RouteID string
 )
 
 // KeyHash is the SHA-256 digest of a client account's key. Keys themselves are
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -57,7 +57,7 @@
 
 type waitResult struct {
 	permit  *permit
-	refusal *ferry.Refusal
+	refusal *ferry.RefusalError
 }
 
 // pendingAsk is an ask without an answer.
@@ -278,22 +278,22 @@
 }
 
 // refuse ends the wait of up to count requests.
-func (p *pool) refuse(count int, refusal *ferry.Refusal) {
+func (p *pool) refuse(count int, refusal *ferry.RefusalError) {
 	for ; count > 0 && len(p.waiters) > 0; count-- {
 		p.waiters[0].result <- waitResult{refusal: refusal}
 		p.waiters = p.waiters[1:]
 	}
 }
 
-func overAllowance(after time.Duration) *ferry.Refusal {
-	return &ferry.Refusal{
+func overAllowance(after time.Duration) *ferry.RefusalError {
+	return &ferry.RefusalError{
 		Status: http.StatusTooManyRequests, Reason: ferry.ReasonOverAllowance, Outcome: ferry.OutcomeNotRun,
 		RetryAfter: after, Detail: "the client account has used up its rate and burst",
 	}
 }
 
-func allowanceUnknown() *ferry.Refusal {
-	return &ferry.Refusal{
+func allowanceUnknown() *ferry.RefusalError {
+	return &ferry.RefusalError{
 		Status: http.StatusServiceUnavailable, Reason: ferry.ReasonAllowanceUnknown, Outcome: ferry.OutcomeNotRun,
 		RetryAfter: maxWait, Detail: "the holder of the allowance did not answer",
 	}
--- a/limit/pools.go
+++ b/limit/pools.go
@@ -63,7 +63,7 @@
 			result.permit.Return(p.clock.Now())
 		}
 	}
-	return nil, &ferry.Refusal{
+	return nil, &ferry.RefusalError{
 		Status: http.StatusGatewayTimeout, Reason: ferry.ReasonDeadline, Outcome: ferry.OutcomeNotRun,
 		Detail: "the request ended while it waited for its allowance",
 	}
--- a/limit/world_test.go
+++ b/limit/world_test.go
@@ -390,19 +390,6 @@
 	n.world.admitted[id] = append(n.world.admitted[id], n.world.now)
 }
 
-// traffic sends requests of an account at random times to random VMs.
-func (w *world) traffic(account ferry.Account, rate float64, vms []*node, until time.Duration) {
-	gap := time.Duration(w.random.ExpFloat64() / rate * float64(time.Second))
-	at := w.now + gap
-	if at > until {
-		return
-	}
-	w.at(at, func() {
-		vms[w.random.IntN(len(vms))].request(account.ID)
-		w.traffic(account, rate, vms, until)
-	})
-}
-
 // surges lets an account fill its bucket and then asks for far more, so that a
 // token which exists twice is also used twice.
 func (w *world) surges(account ferry.Account, until time.Duration) {
--- a/load/load.go
+++ b/load/load.go
@@ -135,15 +135,16 @@
 		case <-ctx.Done():
 			return
 		}
-		group.Go(func() { r.record(r.send(account, directory)) })
+		// A request that has begun is finished after the end of the run.
+		group.Go(func() { r.record(r.send(context.WithoutCancel(ctx), account, directory)) })
 	}
 }
 
 // send makes one request and tries further addresses while none is connected.
-func (r *runner) send(account Account, directory *directory) Result {
+func (r *runner) send(ctx context.Context, account Account, directory *directory) Result {
 	result := Result{Account: account.ID, At: time.Since(r.start)}
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	for _, address := range directory.addresses(ctx) {
 		result.Addresses++
--- a/proxy/filter.go
+++ b/proxy/filter.go
@@ -59,8 +59,8 @@
 	return strings.TrimSuffix(strings.ToLower(host), ".")
 }
 
-func refuse(status int, reason ferry.Reason, detail string) *ferry.Refusal {
-	return &ferry.Refusal{Status: status, Reason: reason, Outcome: ferry.OutcomeNotRun, Detail: detail}
+func refuse(status int, reason ferry.Reason, detail string) *ferry.RefusalError {
+	return &ferry.RefusalError{Status: status, Reason: reason, Outcome: ferry.OutcomeNotRun, Detail: detail}
 }
 
 // BodyFilter refuses request bodies above the limit of the route. Its zero
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -160,7 +160,7 @@
 	if s.spent = s.exchange.Permit.Spend(f.config.Clock.Now()); s.spent {
 		return nil
 	}
-	return &ferry.Refusal{
+	return &ferry.RefusalError{
 		Status: http.StatusServiceUnavailable, Reason: ferry.ReasonAllowanceUnknown, Outcome: ferry.OutcomeNotRun,
 		RetryAfter: time.Second, Detail: "the allowance expired before the request could be sent",
 	}
@@ -168,7 +168,7 @@
 
 // withOutcome raises the outcome of a refusal to that of earlier attempts.
 func withOutcome(err error, worst ferry.Outcome) error {
-	var refusal *ferry.Refusal
+	var refusal *ferry.RefusalError
 	if errors.As(err, &refusal) && worst > ferry.OutcomeNotRun {
 		changed := *refusal
 		changed.Outcome = ferry.OutcomeUnknown
@@ -179,7 +179,7 @@
 
 // failure builds the refusal after the last attempt.
 func (f *Forwarder) failure(ctx context.Context, s *state, result ferry.Result) error {
-	refusal := &ferry.Refusal{
+	refusal := &ferry.RefusalError{
 		Status: http.StatusBadGateway, Reason: ferry.ReasonTargetFailed, Outcome: ferry.OutcomeNotRun,
 		Detail: "the last attempt ended with " + result.Verdict.String(),
 	}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -31,7 +31,7 @@
 	m.set.GetOrCreateCounter(name).Inc()
 }
 
-func (m *Metrics) refusal(refusal *ferry.Refusal) {
+func (m *Metrics) refusal(refusal *ferry.RefusalError) {
 	name := fmt.Sprintf("ferry_refusals_total{reason=%q,outcome=%q}", refusal.Reason, refusal.Outcome)
 	m.set.GetOrCreateCounter(name).Inc()
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -43,7 +43,7 @@
 	if err == nil {
 		return
 	}
-	var refusal *ferry.Refusal
+	var refusal *ferry.RefusalError
 	if !errors.As(err, &refusal) {
 		s.log.Warn("aborted", slog.String("request", exchange.ID), slog.String("error", trace.UserMessage(err)))
 		panic(http.ErrAbortHandler)
@@ -53,7 +53,7 @@
 
 func (s *Server) handle(ctx context.Context, exchange *ferry.Exchange) error {
 	if exchange.Snapshot == nil {
-		return &ferry.Refusal{
+		return &ferry.RefusalError{
 			Status: http.StatusServiceUnavailable, Reason: ferry.ReasonNotReady, Outcome: ferry.OutcomeNotRun,
 			RetryAfter: time.Second, Detail: "the VM has no configuration yet",
 		}
@@ -70,7 +70,7 @@
 }
 
 // refuse writes the refusal to the caller and the log.
-func (s *Server) refuse(exchange *ferry.Exchange, refusal *ferry.Refusal) {
+func (s *Server) refuse(exchange *ferry.Exchange, refusal *ferry.RefusalError) {
 	s.metrics.refusal(refusal)
 	var account ferry.AccountID
 	if exchange.Account != nil {
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -140,7 +140,7 @@
 // Admit implements ferry.Limiter.
 func (f *fixture) Admit(_ context.Context, account *ferry.Account) (ferry.Permit, error) {
 	if account.ID == "empty" {
-		return nil, &ferry.Refusal{
+		return nil, &ferry.RefusalError{
 			Status: http.StatusTooManyRequests, Reason: ferry.ReasonOverAllowance, Outcome: ferry.OutcomeNotRun,
 			RetryAfter: 1500 * time.Millisecond, Detail: "the client account has used up its rate and burst",
 		}
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -85,7 +85,7 @@
 }
 
 // Choose reserves a target and waits for one in fair order while all are busy.
-// The account is nil on an open route. It returns a *ferry.Refusal when no
+// The account is nil on an open route. It returns a *ferry.RefusalError when no
 // target became free in time.
 func (f *Fair) Choose(ctx context.Context, account *ferry.Account, choice ferry.Choice) (ferry.Pick, error) {
 	l := f.line(choice.Service)
@@ -255,12 +255,12 @@
 }
 
 func isOverload(err error) bool {
-	var refusal *ferry.Refusal
+	var refusal *ferry.RefusalError
 	return errors.As(err, &refusal) && refusal.Reason == ferry.ReasonOverload
 }
 
-func overload(detail string) *ferry.Refusal {
-	return &ferry.Refusal{
+func overload(detail string) *ferry.RefusalError {
+	return &ferry.RefusalError{
 		Status: http.StatusServiceUnavailable, Reason: ferry.ReasonOverload, Outcome: ferry.OutcomeNotRun,
 		RetryAfter: time.Second, Detail: detail,
 	}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,52 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry"
+)
+
+func TestMayRepeat(t *testing.T) {
+	cases := []struct {
+		idempotent bool
+		result     ferry.Result
+		want       bool
+	}{
+		{false, ferry.Result{Outcome: ferry.OutcomeNotSent}, true},
+		{false, ferry.Result{Outcome: ferry.OutcomeNotRun, Verdict: ferry.VerdictShed}, true},
+		{false, ferry.Result{Outcome: ferry.OutcomeUnknown, Verdict: ferry.VerdictReset}, false},
+		{false, ferry.Result{Outcome: ferry.OutcomeDone, Verdict: ferry.VerdictErrorStatus}, false},
+		{true, ferry.Result{Outcome: ferry.OutcomeUnknown, Verdict: ferry.VerdictStall}, true},
+		{true, ferry.Result{Outcome: ferry.OutcomeDone, Verdict: ferry.VerdictErrorStatus}, true},
+		{true, ferry.Result{Outcome: ferry.OutcomeDone, Verdict: ferry.VerdictGood}, false},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		is.Equal(MayRepeat(c.idempotent, c.result), c.want)
+	}
+}
+
+// TestAmplification lets every attempt be shed. The attempts stay below 1.1
+// times the requests, the bound of issue 6.
+func TestAmplification(t *testing.T) {
+	is := is.New(t)
+	var set Set
+	budget := set.Budget("s")
+	shed := ferry.Result{Verdict: ferry.VerdictShed, Outcome: ferry.OutcomeNotRun}
+	attempts := 0
+	const requests = 1000
+	for range requests {
+		budget.First(ferry.DefaultRetryBudget)
+		for number := 1; ; number++ {
+			attempts++
+			budget.Observe(shed)
+			if number >= MaxAttempts || !MayRepeat(false, shed) || !budget.Spend() {
+				break
+			}
+		}
+	}
+	is.True(float64(attempts) < 1.1*requests)
+	is.True(set.Budget("s") == budget)
+}
--- a/route/picker.go
+++ b/route/picker.go
@@ -144,7 +144,7 @@
 	// round is looked for once more.
 	for range 2 {
 		for d := range g {
-			if c := p.best(now, g[d], choice); c != nil && p.reserve(now, c) {
+			if c := p.best(now, g[d], choice); c != nil && p.reserve(c) {
 				return ferry.Pick{Target: c.target.Load(), Reason: reasonFor(c, distance(d))}, nil
 			}
 		}
@@ -152,7 +152,7 @@
 	if !anyUsable(g, choice) {
 		return ferry.Pick{}, noTarget("every target is ejected, leaving or already tried")
 	}
-	return ferry.Pick{}, &ferry.Refusal{
+	return ferry.Pick{}, &ferry.RefusalError{
 		Status: http.StatusServiceUnavailable, Reason: ferry.ReasonOverload, Outcome: ferry.OutcomeNotRun,
 		RetryAfter: time.Second, Detail: "every target of the service is busy",
 	}
@@ -165,8 +165,8 @@
 	return distanceReasons[d]
 }
 
-func noTarget(detail string) *ferry.Refusal {
-	return &ferry.Refusal{
+func noTarget(detail string) *ferry.RefusalError {
+	return &ferry.RefusalError{
 		Status: http.StatusServiceUnavailable, Reason: ferry.ReasonNoTarget, Outcome: ferry.OutcomeNotRun,
 		RetryAfter: time.Second, Detail: detail,
 	}
@@ -278,7 +278,7 @@
 	return float64(busy(now, c)+1) / slots * float64(c.latency.Load()+int64(time.Millisecond))
 }
 
-func (p *Picker) reserve(now ferry.Moment, c *candidate) bool {
+func (p *Picker) reserve(c *candidate) bool {
 	if c.inFlight.Add(1) <= p.capacity(c) {
 		return true
 	}
