--- /dev/null
+++ b/cmd/ferrylab/measure.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"monsoonferry.org/ferry/demo"
+	"monsoonferry.org/ferry/fake"
+)
+
+// serverFlag names the program under measurement.
+func serverFlag() cli.Flag {
+	return &cli.StringFlag{Name: "server", Usage: "`FILE` of the monsoonferry program", Value: "bin/monsoonferry"}
+}
+
+func forwardCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "forward",
+		Usage: "pass requests to one target, as the baseline of a pair",
+		Flags: []cli.Flag{listenFlag(), &cli.StringFlag{Name: "target", Usage: "`ADDRESS` of the target", Required: true}},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			target, err := netip.ParseAddrPort(command.String("target"))
+			if err != nil {
+				return trace.BadParameter("%q is not an IP address and port", command.String("target"))
+			}
+			return serve(ctx, command.String("listen"), fake.NewForwarder(target))
+		},
+	}
+}
+
+func pairCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "pair",
+		Usage: "compare a VM with a bare forwarder in one run",
+		Flags: []cli.Flag{serverFlag(), &cli.DurationFlag{Name: "period", Usage: "time of the measurement", Value: 10 * time.Second}},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return inDirectory(command.String("server"), func(config demo.Config) error {
+				result, err := demo.Pair(ctx, config, command.Duration("period"))
+				if err != nil {
+					return err
+				}
+				result.Print(os.Stdout)
+				return nil
+			})
+		},
+	}
+}
+
+// inDirectory runs a measurement with a temporary directory.
+func inDirectory(server string, measure func(demo.Config) error) (err error) {
+	var lab, directory string
+	if lab, err = os.Executable(); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if directory, err = os.MkdirTemp("", "ferrylab-"); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	err = measure(demo.Config{Server: server, Lab: lab, Directory: directory, Progress: os.Stderr})
+	return errors.Join(err, os.RemoveAll(directory))
+}
+
+func scaleCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "scale",
+		Usage: "measure what control costs an idle VM in fleets of several sizes",
+		Flags: []cli.Flag{
+			serverFlag(),
+			&cli.IntSliceFlag{Name: "vms", Usage: "`NUMBER` of VMs; may be given several times", Value: []int{6, 12, 24, 36}},
+			&cli.IntFlag{Name: "accounts", Usage: "client accounts that are published and not used"},
+			&cli.IntFlag{Name: "targets", Usage: "targets that are published and not used"},
+			&cli.DurationFlag{Name: "period", Usage: "time of each measurement", Value: 10 * time.Second},
+		},
+		Action: runScale,
+	}
+}
+
+func runScale(ctx context.Context, command *cli.Command) error {
+	for _, vms := range command.IntSlice("vms") {
+		size := demo.ScaleConfig{VMs: vms, Accounts: command.Int("accounts"), Targets: command.Int("targets"), Period: command.Duration("period")}
+		err := inDirectory(command.String("server"), func(config demo.Config) error {
+			result, err := demo.Scale(ctx, config, size)
+			if err != nil {
+				return err
+			}
+			result.Print(os.Stdout)
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -36,6 +36,8 @@
 	adviceTime       = "8ms"
 	orderTime        = "12ms"
 	withdrawnAccount = "clinic-4"
+	// pairAccount has an allowance that a pair does not use up.
+	pairAccount = "pair"
 )
 
 // process is one started program.
@@ -92,7 +94,7 @@
 func newFleet(config Config) *fleet {
 	return &fleet{
 		config: config, started: time.Now(), count: vmCount,
-		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableCompression: true}},
+		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: pairWorkers}},
 	}
 }
 
@@ -273,6 +275,7 @@
 		"clinic-2":      {Rate: 20, Burst: 10},
 		"clinic-3":      {Rate: 20, Burst: 10},
 		"clinic-4":      {Rate: 20, Burst: 10},
+		pairAccount:     {Rate: 5000, Burst: 1000},
 	}
 }
 
@@ -348,6 +351,7 @@
 		{ID: "advice", PathPrefix: "/advice/", Service: "advice", IdempotentMethods: []string{http.MethodGet}, Deadline: 5 * time.Second},
 		{ID: "orders", PathPrefix: "/orders/", Service: "orders", Deadline: 5 * time.Second},
 		{ID: "echo", PathPrefix: "/echo", Service: "echo", Open: true, IdempotentMethods: []string{http.MethodGet}, Deadline: time.Second},
+		{ID: "paired", PathPrefix: "/paired", Service: "echo", IdempotentMethods: []string{http.MethodGet}, Deadline: time.Second},
 	}
 	return inventory
 }
--- /dev/null
+++ b/demo/pair.go
@@ -0,0 +1,164 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
+
+	"monsoonferry.org/ferry"
+)
+
+// PairResult compares a VM with a bare forwarder in one run.
+type PairResult struct {
+	Requests int
+	// Forward and VM are the two sides of the pair.
+	Forward PairSide
+	VM      PairSide
+}
+
+// PairSide is one side of a pair.
+type PairSide struct {
+	P50Ms float64
+	P99Ms float64
+	// CPUMicros is the processor time per request.
+	CPUMicros float64
+}
+
+// Sizes of a pair.
+const (
+	// pairWorkers send requests at the same time, each to both sides in turn.
+	pairWorkers = 4
+	// pairPause is the pause of a worker after each pair.
+	pairPause = 4 * time.Millisecond
+)
+
+// Pair sends the same requests through a VM, with key and allowance, and
+// through a bare forwarder, in turn, for the given time.
+func Pair(ctx context.Context, config Config, period time.Duration) (result PairResult, err error) {
+	f := newFleet(config)
+	f.count = 1
+	defer f.stop()
+	if err = f.start(ctx); err != nil {
+		return result, err
+	}
+	forwarder := &target{}
+	forwarder.id = "forwarder"
+	if forwarder.address, err = freeAddress(); err != nil {
+		return result, err
+	}
+	f.targets = append(f.targets, forwarder)
+	if err = f.launch(&forwarder.process, config.Lab, "forward", "--listen", forwarder.address, "--target", f.echo.address); err != nil {
+		return result, err
+	}
+	if err = f.awaitReady(ctx); err != nil {
+		return result, err
+	}
+	if err = sleep(ctx, warmUpTime); err != nil {
+		return result, err
+	}
+	return f.pair(ctx, forwarder, period)
+}
+
+// pair runs the workers and reads the processor time before and after.
+func (f *fleet) pair(ctx context.Context, forwarder *target, period time.Duration) (result PairResult, err error) {
+	sides := []*pairSide{
+		{process: &forwarder.process, address: forwarder.address, latency: newLatencies()},
+		{process: &f.vms[0].process, address: f.vms[0].callers, latency: newLatencies()},
+	}
+	for _, side := range sides {
+		if side.before, _, err = processUsage(side.process.command.Process.Pid); err != nil {
+			return result, err
+		}
+	}
+	deadline := time.Now().Add(period)
+	var group sync.WaitGroup
+	errs := make(chan error, pairWorkers)
+	for range pairWorkers {
+		group.Go(func() {
+			for time.Now().Before(deadline) {
+				for _, side := range sides {
+					if err := side.request(ctx, f.client); err != nil {
+						errs <- err
+						return
+					}
+				}
+				time.Sleep(pairPause)
+			}
+		})
+	}
+	group.Wait()
+	close(errs)
+	if err = <-errs; err != nil {
+		return result, err
+	}
+	result.Requests = int(sides[0].latency.TotalCount())
+	for i, into := range []*PairSide{&result.Forward, &result.VM} {
+		if *into, err = sides[i].result(); err != nil {
+			return result, err
+		}
+	}
+	return result, nil
+}
+
+// pairSide is one side while it is measured.
+type pairSide struct {
+	process *process
+	address string
+	before  float64
+
+	mu      sync.Mutex
+	latency *hdrhistogram.Histogram
+}
+
+func (s *pairSide) request(ctx context.Context, client *http.Client) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+"/paired", nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	request.Header.Set(ferry.HeaderKey, accountKey(pairAccount))
+	start := time.Now()
+	answer, err := client.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if _, err = io.Copy(io.Discard, answer.Body); err != nil {
+		return trace.Wrap(err)
+	}
+	if answer.StatusCode != http.StatusOK {
+		return trace.Errorf("%s answered status %d", s.process.id, answer.StatusCode)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latency.RecordValue(time.Since(start).Microseconds())
+}
+
+func (s *pairSide) result() (PairSide, error) {
+	after, _, err := processUsage(s.process.command.Process.Pid)
+	if err != nil {
+		return PairSide{}, err
+	}
+	return PairSide{
+		P50Ms:     float64(s.latency.ValueAtQuantile(50)) / 1000,
+		P99Ms:     float64(s.latency.ValueAtQuantile(99)) / 1000,
+		CPUMicros: (after - s.before) / float64(s.latency.TotalCount()) * 1e6,
+	}, nil
+}
+
+// Print writes the result as a table.
+func (r PairResult) Print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%d pairs\n", r.Requests)
+	for _, row := range []struct {
+		name string
+		side PairSide
+	}{{"bare forwarder", r.Forward}, {"VM", r.VM}} {
+		_, _ = fmt.Fprintf(w, "%-16s p50 %.3f ms  p99 %.3f ms  CPU %.0f us per request\n", row.name, row.side.P50Ms, row.side.P99Ms, row.side.CPUMicros)
+	}
+	_, _ = fmt.Fprintf(w, "%-16s p50 %.3f ms  p99 %.3f ms  CPU x%.2f\n", "added", r.VM.P50Ms-r.Forward.P50Ms, r.VM.P99Ms-r.Forward.P99Ms, r.VM.CPUMicros/r.Forward.CPUMicros)
+}
