--- a/cmd/monsoonferry/main.go
+++ b/cmd/monsoonferry/main.go
@@ -15,14 +15,12 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync"
 	"syscall"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
 	"monsoonferry.org/ferry/conf"
-	"monsoonferry.org/ferry/host"
 )
 
 func main() {
@@ -60,13 +58,7 @@
 	if settings, err = conf.ParseSettings(text); err != nil {
 		return trace.Wrap(err, "%s", name)
 	}
-	log := host.NewLogBuffer(os.Stderr)
-	logCtx, stopLog := context.WithCancel(ctx)
-	var logging sync.WaitGroup
-	logging.Go(func() { log.Run(logCtx) })
-	defer logging.Wait()
-	defer stopLog()
-	h, err := newHost(settings, log)
+	h, err := newHost(settings, os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -87,15 +86,9 @@
 		// An empty value keeps net/http from adding its own.
 		header.Set("User-Agent", "")
 	}
-	body := io.ReadCloser(a.body)
-	if in.ContentLength == 0 && a.exchange.Route.IsIdempotent(in.Method) {
-		// Without a body the transport may send the request again by itself when
-		// a kept connection turns out to be closed.
-		body = http.NoBody
-	}
 	request := &http.Request{
 		Method: in.Method, URL: target, Host: in.Host, Header: header,
-		ContentLength: in.ContentLength, Body: body,
+		ContentLength: in.ContentLength, Body: a.body,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	return request.WithContext(ctx)
--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -30,8 +30,8 @@
 	return n, err
 }
 
-// newTransport returns the client side of the data path. It sends a
-// request again by itself only when it is idempotent and has no body.
+// newTransport returns the client side of the data path. It never sends a
+// request again by itself, because bodies are not replayable for it.
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
