peer: turn hand-overs with impossible numbers away

Cause: reading the codec showed that a fill that is not a number would spoil the bucket of a client account for good; evidence was checked, hand-overs were not. Change: such frames end the session.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -60,7 +60,7 @@
 	case *peerpb.Frame_LeaseReturn:
 		return limit.LeaseReturn{Holder: from, Sequence: body.LeaseReturn.GetSequence(), Mask: limit.Mask(body.LeaseReturn.GetMask())}, nil
 	case *peerpb.Frame_HandOver:
-		return decodeHandOver(body.HandOver, from), nil
+		return decodeHandOver(body.HandOver, from)
 	case *peerpb.Frame_GrantAsk:
 		return decodeGrantAsk(body.GrantAsk, from)
 	case *peerpb.Frame_GrantAnswer:
@@ -159,14 +159,19 @@
 	return p
 }
 
-func decodeHandOver(p *peerpb.HandOver, from limit.Process) Message {
+func decodeHandOver(p *peerpb.HandOver, from limit.Process) (Message, error) {
 	handOver := limit.HandOver{Origin: limit.Origin{Holder: from, Sequence: p.GetSequence()}}
 	for _, b := range p.GetBalances() {
+		if !isFinite(b.GetFill()) || b.GetFill() < 0 {
+			return nil, trace.BadParameter("the fill of %q is out of range", b.GetAccount())
+		}
 		handOver.Balances = append(handOver.Balances, limit.Balance{Account: ferry.AccountID(b.GetAccount()), Fill: b.GetFill()})
 	}
-	return handOver
+	return handOver, nil
 }
 
+func isFinite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
+
 func encodeGrantAsk(m limit.GrantAsk) *peerpb.GrantAsk {
 	p := &peerpb.GrantAsk{Sequence: m.Sequence, Account: string(m.Account), Need: uint32(m.Need), Ahead: uint32(m.Ahead)}
 	for _, r := range m.Reports {
@@ -233,7 +238,7 @@
 			Target: ferry.TargetID(t.GetTarget()), Errors: float64(t.GetErrors()), Slowness: float64(t.GetSlowness()),
 			Good: int(t.GetGood()), Bad: int(t.GetBad()),
 		}
-		if math.IsNaN(increment.Errors) || math.IsInf(increment.Errors, 0) || math.IsNaN(increment.Slowness) || math.IsInf(increment.Slowness, 0) {
+		if !isFinite(increment.Errors) || !isFinite(increment.Slowness) {
 			return nil, trace.BadParameter("the evidence about %q is not a number", increment.Target)
 		}
 		evidence.Increments = append(evidence.Increments, increment)
