--- a/control.go
+++ b/control.go
@@ -56,8 +56,6 @@
 	// Trial reports that the request may test a target on readmission, which
 	// only idempotent requests may.
 	Trial bool
-	// Again reports that the request was shed after it had waited its turn.
-	Again bool
 }
 
 // Pick is a chosen target together with the reason for the choice.
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -101,7 +101,7 @@
 // try makes one attempt and decides how the request goes on.
 func (f *Forwarder) try(ctx context.Context, s *state, number int) (next step, result ferry.Result, err error) {
 	var pick ferry.Pick
-	choice := ferry.Choice{Service: s.service.ID, Tried: s.tried, Trial: s.idempotent, Again: s.isShed}
+	choice := ferry.Choice{Service: s.service.ID, Tried: s.tried, Trial: s.idempotent}
 	if pick, err = f.config.Queue.Choose(ctx, s.exchange.Account, choice); err != nil {
 		return stepEnd, result, withOutcome(err, s.worst)
 	}
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -193,13 +193,8 @@
 	if len(l.tickets) >= maxPerLine || l.counts[t.account] >= maxPerAccount {
 		return nil
 	}
-	if choice.Again {
-		// The request has had its turn and keeps it.
-		t.finish = l.virtual
-	} else {
-		t.finish = max(l.virtual, l.finishes[t.account]) + 1/weight
-		l.finishes[t.account] = t.finish
-	}
+	t.finish = max(l.virtual, l.finishes[t.account]) + 1/weight
+	l.finishes[t.account] = t.finish
 	l.counts[t.account]++
 	l.tickets = append(l.tickets, t)
 	l.waiting.Add(1)
