queue: let requests wait up to a second

Cause: all refusals of the worst-served account were Overload after 250 ms in the line or 500 ms after a shed, while its share of the capacity was not used up; slots go to whichever VM asks first. Ruled out: the allowance (no refusal came from it); the place in the line after a shed (the try before). Change: a request waits at most 1 s in the line, and 1 s after it was shed.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -153,7 +153,7 @@
 
 // shedPatience is the time for which a request that targets shed waits for a
 // slot.
-const shedPatience = 500 * time.Millisecond
+const shedPatience = time.Second
 
 // decideShed lets a request that a full target did not run wait for a slot
 // again. It spends nothing from the retry budget, because the balancer pauses
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -35,7 +35,7 @@
 
 const (
 	// maxWait is the longest time in a line.
-	maxWait = 250 * time.Millisecond
+	maxWait = time.Second
 	// maxPerAccount and maxPerLine bound the waiting requests.
 	maxPerAccount = 64
 	maxPerLine    = 1024
