--- a/host/allow.go
+++ b/host/allow.go
@@ -64,10 +64,11 @@
 	askedAt   ferry.Moment
 	tidiedAt  ferry.Moment
 
-	ask      atomic.Pointer[limit.LeaseAsk]
-	usage    atomic.Pointer[AllowanceUsage]
-	rights   atomic.Pointer[map[int]float64]
-	overload atomic.Uint64
+	ask    atomic.Pointer[limit.LeaseAsk]
+	usage  atomic.Pointer[AllowanceUsage]
+	rights atomic.Pointer[map[int]float64]
+	// lostAsks counts own asks that found the queue full.
+	lostAsks atomic.Uint64
 }
 
 func newAllowanceLoop(self limit.Process, clock ferry.Clock, log *slog.Logger, mesh *peer.Mesh) *allowanceLoop {
@@ -108,7 +109,7 @@
 	select {
 	case l.events <- allowanceEvent{ask: &ask}:
 	default:
-		l.overload.Add(1)
+		l.lostAsks.Add(1)
 	}
 }
 
@@ -239,8 +240,7 @@
 
 // publish makes the state of the loop visible to others.
 func (l *allowanceLoop) publish(now ferry.Moment) {
-	usage := AllowanceUsage{Pools: l.pools.Count(), Parts: l.lender.Parts()}
-	usage.Buckets, _ = l.holder.Usage()
+	usage := AllowanceUsage{Buckets: l.holder.Buckets(), Pools: l.pools.Count(), Parts: l.lender.Parts()}
 	rights := map[int]float64{}
 	held := l.placement.Held(l.self.VM)
 	total := 0.0
--- a/host/doc.go
+++ b/host/doc.go
@@ -10,6 +10,6 @@
 //
 // # Usage
 //
-//	h, err := host.New(settings, parts)
+//	h, err := host.New(settings, clock, logger, store, metrics)
 //	err = h.Run(ctx)
 package host
--- /dev/null
+++ b/host/eject.go
@@ -0,0 +1,96 @@
+package host
+
+import (
+	"log/slog"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/health"
+	"monsoonferry.org/ferry/route"
+)
+
+// applyEjections publishes the state of every target to the picker.
+func (l *detectionLoop) applyEjections(now ferry.Moment) {
+	if l.inventory == nil {
+		return
+	}
+	current := l.follower.Current(now)
+	l.current.Store(&current)
+	stages := map[ferry.TargetID]health.Stage{}
+	for _, ejection := range current {
+		stages[ejection.Target] = ejection.Stage
+		l.picker.SetStatus(ejection.Target, statusOf(ejection))
+		if old, ok := l.stages[ejection.Target]; !ok || old != ejection.Stage {
+			l.enterStage(ejection)
+		}
+	}
+	for target := range l.stages {
+		if _, ok := stages[target]; !ok {
+			l.picker.SetStatus(target, route.Status{})
+			l.log.Info("target in full use", slog.String("target", string(target)))
+		}
+	}
+	l.stages = stages
+	l.weigh(now, stages)
+}
+
+// enterStage forgets what was seen of the target in its stage before.
+func (l *detectionLoop) enterStage(ejection health.Ejection) {
+	if !l.decided[l.serviceOf(ejection.Target)] {
+		// The decider has done so when it decided.
+		l.detector.Reset(ejection.Target)
+	}
+	if ejection.Stage == health.StageEjected {
+		l.ejected.Add(1)
+	}
+	l.log.Info("target stage", slog.String("target", string(ejection.Target)), slog.String("stage", ejection.Stage.String()),
+		slog.String("place", string(ejection.Place)), slog.Int("relapses", ejection.Relapses))
+}
+
+func (l *detectionLoop) serviceOf(id ferry.TargetID) ferry.ServiceID {
+	for _, target := range l.inventory.Targets {
+		if target.ID == id {
+			return target.Service
+		}
+	}
+	return ""
+}
+
+// weigh lowers the weight of suspected targets that are not ejected.
+func (l *detectionLoop) weigh(now ferry.Moment, stages map[ferry.TargetID]health.Stage) {
+	weighted := map[ferry.TargetID]bool{}
+	scores := map[ferry.TargetID]health.Score{}
+	for _, service := range l.inventory.Services {
+		for _, suspect := range l.detector.Suspects(now, service.ID) {
+			id := suspect.Target.ID
+			scores[id] = l.detector.Score(id, l.self.Place)
+			if _, decided := stages[id]; decided || (suspect.Place != "" && suspect.Place != l.self.Place) {
+				continue
+			}
+			weighted[id] = true
+			if !l.weighted[id] {
+				l.picker.SetStatus(id, route.Status{Weight: suspectWeight})
+				l.log.Info("target suspected", slog.String("target", string(id)), slog.Float64("excess", suspect.Excess),
+					slog.Float64("share", suspect.Share), slog.String("place", string(suspect.Place)))
+			}
+		}
+	}
+	for id := range l.weighted {
+		if _, decided := stages[id]; !weighted[id] && !decided {
+			l.picker.SetStatus(id, route.Status{})
+		}
+	}
+	l.weighted = weighted
+	l.scores.Store(&scores)
+}
+
+func statusOf(ejection health.Ejection) route.Status {
+	switch ejection.Stage {
+	case health.StageEjected:
+		return route.Status{Ejected: true}
+	case health.StageTrial:
+		return route.Status{Trial: true}
+	case health.StageSlowStart:
+	}
+	progress := float64(ejection.Age) / float64(health.SlowStart)
+	return route.Status{Weight: coldWeight + (1-coldWeight)*min(1, progress)}
+}
--- a/host/report.go
+++ b/host/report.go
@@ -111,6 +111,7 @@
 		"ferry_requests_in_flight": func() float64 { return float64(h.callers.inFlight.Load()) },
 		"ferry_requests_waiting":   func() float64 { return float64(h.waiting.Waiting()) },
 		"ferry_evidence_dropped":   func() float64 { return float64(h.detection.lost.Load()) },
+		"ferry_asks_dropped":       func() float64 { return float64(h.allowance.lostAsks.Load()) },
 		"ferry_peer_sent_bytes": func() float64 {
 			sent, _, _ := h.mesh.Usage()
 			return float64(sent)
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -25,8 +25,8 @@
 //
 // Lender and Holder are pure: the caller passes the current moment.
 //
-//	mask := lender.Lend(now, ask, placement)
-//	holder.Renew(now, answer)
+//	ask := holder.Ask(now, placement.Held(self))
+//	holder.Renew(now, lender.Lend(now, ask, placement))
 //	answer := holder.Grant(now, grantAsk)
 //
 // Pools serves the request path and is safe for concurrent use:
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -269,13 +269,5 @@
 	b.truncate(s.share())
 }
 
-// Usage returns the number of buckets and the time to which the holder's
-// oldest lease backs grants.
-func (h *Holder) Usage() (buckets int, oldest time.Duration) {
-	for i := range h.shards {
-		if l, ok := h.shards[i].oldest(); ok && (oldest == 0 || l.end() < oldest) {
-			oldest = l.end()
-		}
-	}
-	return len(h.buckets), oldest
-}
+// Buckets returns the number of client accounts with a bucket.
+func (h *Holder) Buckets() int { return len(h.buckets) }
--- a/limit/lender.go
+++ b/limit/lender.go
@@ -132,10 +132,5 @@
 	}
 }
 
-// IsLent reports whether the share of the shard is lent now.
-func (l *Lender) IsLent(now ferry.Moment, shard int) bool {
-	return now.Steady < l.loans[shard].until
-}
-
 // Parts returns the number of parts in force, or 0 while the VM has no share.
 func (l *Lender) Parts() int { return l.parts }
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -16,7 +16,7 @@
 //
 //	mesh := peer.NewMesh(config)
 //	go mesh.Serve(ctx, listener)
-//	mesh.SetPeers(vms)
+//	mesh.SetPeers(ctx, vms)
 //	mesh.Send("vm-2", peer.Beat{Sequence: 1})
 //	inbound, err := mesh.Next(ctx)
 package peer
--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -14,6 +14,6 @@
 // # Usage
 //
 //	forwarder := proxy.NewForwarder(config)
-//	chain := ferry.Chain(forwarder, proxy.RouteFilter{}, auth.Filter{}, proxy.BodyFilter{})
-//	http.Serve(listener, proxy.NewServer(chain, snapshots, clock, log))
+//	chain := ferry.Chain(forwarder, proxy.RouteFilter{}, auth.Filter{}, proxy.BodyFilter{}, limits)
+//	http.Serve(listener, proxy.NewServer(chain, snapshots, clock, ids, log, metrics))
 package proxy
--- a/route/doc.go
+++ b/route/doc.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	picker := route.NewPicker(place, seed)
+//	picker := route.NewPicker(place)
 //	picker.Apply(inventory)
 //	pick, err := picker.Choose(now, ferry.Choice{Service: "advice"})
 //	// send the request
