--- a/host/allow.go
+++ b/host/allow.go
@@ -43,6 +43,10 @@
 	Share float64
 	// Parts is the number of parts in force, or 0 while the VM lends none.
 	Parts int
+	// Lent is the number of shards whose own share is lent, and Lost the number
+	// of leases that ended without a renewal so far.
+	Lent int
+	Lost uint64
 }
 
 // allowanceLoop owns lender and holder.
@@ -235,7 +239,7 @@
 
 // publish makes the state of the loop visible to others.
 func (l *allowanceLoop) publish(now ferry.Moment) {
-	usage := AllowanceUsage{Buckets: l.holder.Buckets(), Pools: l.pools.Count(), Parts: l.lender.Parts()}
+	usage := AllowanceUsage{Buckets: l.holder.Buckets(), Pools: l.pools.Count(), Parts: l.lender.Parts(), Lent: l.lender.Lent(now), Lost: l.holder.Lost()}
 	rights := map[int]float64{}
 	held := l.placement.Held(l.self.VM)
 	total := 0.0
--- a/host/report.go
+++ b/host/report.go
@@ -104,6 +104,8 @@
 		"ferry_config_version":     func() float64 { return float64(h.control.stamp.Load().Version) },
 		"ferry_shards_held":        func() float64 { return float64(h.allowance.usage.Load().Held) },
 		"ferry_share_held":         func() float64 { return h.allowance.usage.Load().Share },
+		"ferry_shares_lent":        func() float64 { return float64(h.allowance.usage.Load().Lent) },
+		"ferry_leases_lost_total":  func() float64 { return float64(h.allowance.usage.Load().Lost) },
 		"ferry_buckets":            func() float64 { return float64(h.allowance.usage.Load().Buckets) },
 		"ferry_pools":              func() float64 { return float64(h.allowance.usage.Load().Pools) },
 		"ferry_ejections":          func() float64 { return float64(len(*h.detection.current.Load())) },
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -269,5 +269,14 @@
 	b.truncate(s.share())
 }
 
+// Lost returns the number of leases that ended without a renewal or a return.
+func (h *Holder) Lost() uint64 {
+	total := uint64(0)
+	for i := range h.shards {
+		total += h.shards[i].lost
+	}
+	return total
+}
+
 // Buckets returns the number of client accounts with a bucket.
 func (h *Holder) Buckets() int { return len(h.buckets) }
--- a/limit/lender.go
+++ b/limit/lender.go
@@ -132,5 +132,16 @@
 	}
 }
 
+// Lent returns the number of shards whose share is lent now.
+func (l *Lender) Lent(now ferry.Moment) int {
+	count := 0
+	for shard := range l.loans {
+		if now.Steady < l.loans[shard].until {
+			count++
+		}
+	}
+	return count
+}
+
 // Parts returns the number of parts in force, or 0 while the VM has no share.
 func (l *Lender) Parts() int { return l.parts }
--- a/limit/rule_test.go
+++ b/limit/rule_test.go
@@ -53,6 +53,8 @@
 	is := is.New(t)
 	l := lentAt(4)
 	is.Equal(l.Lend(moment(0), ask(holderA, 1), namesAll("a")).Mask, AccountMask)
+	is.Equal(l.Lent(moment(Term)), AccountShards)
+	is.Equal(l.Lent(moment(Term+Drift)), 0)
 	is.Equal(l.Lend(moment(Term), ask(holderB, 1), namesAll("b")).Mask, Mask(0))           // the term of a has not ended
 	is.Equal(l.Lend(moment(Term+Drift), ask(holderB, 1), namesAll("b")).Mask, AccountMask) // now it has
 	is.Equal(l.Lend(moment(Term+Drift), ask(holderA, 2), namesAll("b")).Mask, Mask(0))     // the view names another holder
@@ -107,6 +109,7 @@
 	h.Renew(moment(2*time.Second), answer)
 	is.Equal(h.Share(moment(2*time.Second), 0), 0.25)
 	is.Equal(h.Share(moment(Term-GrantLife-Drift), 0), 0.0) // grants given earlier end with the term
+	is.Equal(h.Lost(), uint64(1))                           // of the shard that was looked at
 	h.Renew(moment(Term), answer)
 	is.Equal(h.Share(moment(Term), 0), 0.0) // a late answer brings nothing
 	other := answer
--- a/limit/shard.go
+++ b/limit/shard.go
@@ -50,6 +50,8 @@
 	arrived map[Origin]float64
 	// settled remembers the last origin counted for each lender.
 	settled map[Process]Origin
+	// lost counts the leases that ended without a renewal or a return.
+	lost uint64
 }
 
 // share returns the share held after the last change.
@@ -95,11 +97,13 @@
 			break
 		}
 		delete(s.leases, oldest.lender)
+		s.lost++
 		s.record(oldest.end())
 	}
 	for lender, l := range s.leases {
 		if l.isOver(now) {
 			delete(s.leases, lender)
+			s.lost++
 		}
 	}
 	s.record(now.Steady)
