--- a/host/measure_test.go
+++ b/host/measure_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -52,3 +54,55 @@
 		b.ReportMetric(float64(promises.Over), "over")
 	}
 }
+
+// BenchmarkLargeUpload sends 1 GiB through a VM and reports the largest heap of
+// the whole process, which also holds the target and the caller.
+func BenchmarkLargeUpload(b *testing.B) {
+	const size = 1 << 30
+	for range b.N {
+		fleet := newBench(b, 1, 1)
+		fleet.start(1)
+		fleet.awaitAllowance()
+		done := make(chan struct{})
+		var peak uint64
+		go func() {
+			defer close(done)
+			body := io.LimitReader(zeros{}, size)
+			request, err := http.NewRequest(http.MethodPost, "http://"+fleet.vms[0].settings.Callers.String()+"/orders/scan", body)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			request.Header.Set(ferry.HeaderKey, key("one"))
+			answer, err := http.DefaultClient.Do(request)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_ = answer.Body.Close()
+			if answer.StatusCode != http.StatusOK {
+				b.Errorf("status %d", answer.StatusCode)
+			}
+		}()
+		for isRunning := true; isRunning; {
+			select {
+			case <-done:
+				isRunning = false
+			case <-time.After(10 * time.Millisecond):
+			}
+			var stats runtime.MemStats
+			runtime.ReadMemStats(&stats)
+			peak = max(peak, stats.HeapInuse)
+		}
+		b.ReportMetric(float64(peak)/(1<<20), "MB")
+	}
+}
+
+// zeros is an endless reader.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(buffer []byte) (int, error) {
+	clear(buffer)
+	return len(buffer), nil
+}
