proxy: leave the caller's connection ready for its next request

With full duplex the server finds the end of an unread request body after the handler, starts to watch the connection and then reads the next request. Reading on, two more faults: a late read of the transport could reach the connection after the request, and the deadlines of one request outlasted it, so that a refusal on a kept connection could have been cut 10 s later.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -34,6 +34,7 @@
 	ended    error
 	current  int
 	err      error
+	closed   bool
 }
 
 // attemptBody is the body of one attempt. The transport may still read it
@@ -58,6 +59,20 @@
 	return b.err
 }
 
+// closeGrace is the time that a read in progress has to end by itself.
+const closeGrace = 100 * time.Millisecond
+
+// close ends all reading. The server may only go on to the next request of a
+// connection when nothing reads the body of this one. A read that waits for the
+// caller is ended by interrupt.
+func (b *replayBody) close(interrupt func()) {
+	timer := time.AfterFunc(closeGrace, interrupt)
+	defer timer.Stop()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+}
+
 // next returns the body for the next attempt and ends the one before.
 func (b *replayBody) next() *attemptBody {
 	b.mu.Lock()
@@ -71,7 +86,7 @@
 	b := a.whole
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.number != b.current {
+	if b.closed || a.number != b.current {
 		return 0, http.ErrBodyReadAfterClose
 	}
 	if a.offset < int64(len(b.kept)) {
@@ -107,7 +122,8 @@
 func (a *attemptBody) Close() error { return nil }
 
 // timedReader extends the read deadline of the caller's connection before
-// each read, so that a caller without progress is cut off.
+// each read, so that a caller without progress is cut off. The end of the body
+// clears the deadline, because the server goes on to watch the connection.
 type timedReader struct {
 	body       io.Reader
 	controller *http.ResponseController
@@ -118,7 +134,11 @@
 	if err := r.controller.SetReadDeadline(time.Now().Add(callerStall)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, err
 	}
-	return r.body.Read(buffer)
+	n, err := r.body.Read(buffer)
+	if err != nil {
+		_ = r.controller.SetReadDeadline(time.Time{})
+	}
+	return n, err
 }
 
 // keyCheck returns a function that fails once the key of the exchange is no
--- a/proxy/body_test.go
+++ b/proxy/body_test.go
@@ -3,8 +3,12 @@
 import (
 	"errors"
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -70,3 +74,114 @@
 	is.True(!large.canReplay())
 	is.True(len(large.kept) <= replayLimit) // memory is bounded
 }
+
+// TestLateReadAfterTheRequest reads the body after the request has ended, as
+// the transport may when the target answered early. The read must not reach the
+// caller's connection, which serves the next request by then.
+func TestLateReadAfterTheRequest(t *testing.T) {
+	is := is.New(t)
+	reads := 0
+	source := readerFunc(func([]byte) (int, error) {
+		reads++
+		return 0, io.EOF
+	})
+	body := &replayBody{source: source, check: func() error { return nil }}
+	attempt := body.next()
+	body.close(func() {})
+	_, err := attempt.Read(make([]byte, 1))
+	is.True(errors.Is(err, http.ErrBodyReadAfterClose))
+	is.Equal(reads, 0)
+}
+
+// TestCloseEndsAWaitingRead ends a read that waits for a caller.
+func TestCloseEndsAWaitingRead(t *testing.T) {
+	is := is.New(t)
+	reading, interrupted := make(chan struct{}), make(chan struct{})
+	source := readerFunc(func([]byte) (int, error) {
+		close(reading)
+		<-interrupted
+		return 0, os.ErrDeadlineExceeded
+	})
+	body := &replayBody{source: source, check: func() error { return nil }}
+	results := make(chan error, 1)
+	attempt := body.next()
+	go func() {
+		_, err := attempt.Read(make([]byte, 1))
+		results <- err
+	}()
+	<-reading
+	body.close(func() { close(interrupted) })
+	is.True(errors.Is(<-results, os.ErrDeadlineExceeded))
+}
+
+type readerFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(buffer []byte) (int, error) { return f(buffer) }
+
+// deadlineWriter records the deadlines of a connection.
+type deadlineWriter struct {
+	http.ResponseWriter
+	read, write time.Time
+}
+
+// SetReadDeadline implements the interface behind http.ResponseController.
+func (w *deadlineWriter) SetReadDeadline(at time.Time) error {
+	w.read = at
+	return nil
+}
+
+// SetWriteDeadline implements the interface behind http.ResponseController.
+func (w *deadlineWriter) SetWriteDeadline(at time.Time) error {
+	w.write = at
+	return nil
+}
+
+// TestDeadlinesDoNotOutlastTheRequest sends a request with a body and expects
+// that the connection has no deadline afterwards.
+func TestDeadlinesDoNotOutlastTheRequest(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, []string{"HTTP/1.1 200 OK\nContent-Length: 2\n\nok\n"})
+	recorder := &deadlineWriter{ResponseWriter: httptest.NewRecorder()}
+	request := httptest.NewRequest(http.MethodPost, "/orders/1", strings.NewReader("pay=1"))
+	request.Header.Set(ferry.HeaderKey, "secret-key")
+	f.server.Config.Handler.ServeHTTP(recorder, request)
+	is.True(recorder.read.IsZero())
+	is.True(recorder.write.IsZero())
+}
+
+// TestUnreadBodies sends many requests on one connection whose bodies nobody
+// reads, because they are refused, and one that is answered after that. Each
+// gets its own answer.
+func TestUnreadBodies(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, []string{"HTTP/1.1 200 OK\nContent-Length: 2\n\nok\n"})
+	f.server.Config.Handler = fullDuplex(f.server.Config.Handler)
+	client := f.server.Client()
+	send := func(key string) int {
+		request, err := http.NewRequest(http.MethodPost, f.server.URL+"/orders/1", strings.NewReader("pay=1"))
+		is.NoErr(err)
+		request.Header.Set(ferry.HeaderKey, key)
+		answer, err := client.Do(request)
+		is.NoErr(err)
+		defer func() { _ = answer.Body.Close() }()
+		_, err = io.Copy(io.Discard, answer.Body)
+		is.NoErr(err)
+		return answer.StatusCode
+	}
+	for range 50 {
+		is.Equal(send("unknown"), http.StatusUnauthorized)
+	}
+	is.Equal(send("secret-key"), http.StatusOK)
+}
+
+// fullDuplex lets a handler write before it has read the request, as the host
+// does.
+func fullDuplex(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if err := http.NewResponseController(writer).EnableFullDuplex(); err != nil {
+			panic(err)
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -86,6 +86,7 @@
 		budget:     f.config.Budgets.Budget(service.ID),
 		idempotent: exchange.Route.IsIdempotent(exchange.Request.Method),
 	}
+	defer f.finish(s)
 	s.budget.First(service.Rules.RetryBudget)
 	for number := 1; ; number++ {
 		next, result, err := f.try(ctx, s, number)
@@ -98,6 +99,17 @@
 	}
 }
 
+// finish leaves the caller's connection ready for its next request: nothing
+// reads it any more, and the deadlines of this request do not outlast it.
+func (f *Forwarder) finish(s *state) {
+	controller := http.NewResponseController(s.exchange.Writer)
+	s.body.close(func() {
+		// The connection ends, as the rest of the body was not read.
+		_ = controller.SetReadDeadline(time.Unix(0, 1))
+	})
+	_ = controller.SetWriteDeadline(time.Time{})
+}
+
 // try makes one attempt and decides how the request goes on.
 func (f *Forwarder) try(ctx context.Context, s *state, number int) (next step, result ferry.Result, err error) {
 	var pick ferry.Pick
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"log/slog"
 	"math"
 	"net/http"
@@ -37,10 +38,12 @@
 		Request: request, Writer: writer, ID: s.ids(),
 		Arrived: s.clock.Now(), Snapshot: s.snapshots.Snapshot(),
 	}
+	body := request.Body
 	s.metrics.requests.Inc()
 	err := s.handle(request.Context(), exchange)
 	s.metrics.duration.Update(s.clock.Now().Since(exchange.Arrived).Seconds())
 	if err == nil {
+		s.finish(writer, body)
 		return
 	}
 	var refusal *ferry.RefusalError
@@ -48,9 +51,24 @@
 		s.log.Warn("aborted", slog.String("request", exchange.ID), slog.String("error", trace.UserMessage(err)))
 		panic(http.ErrAbortHandler)
 	}
+	if !drainBody(writer, body) {
+		writer.Header().Set("Connection", "close")
+	}
 	s.refuse(exchange, refusal)
 }
 
+// finish ends a request whose answer was passed on. A connection on which much
+// of the request body was not read ends too, after the answer.
+func (s *Server) finish(writer http.ResponseWriter, body io.Reader) {
+	if drainBody(writer, body) {
+		return
+	}
+	if err := http.NewResponseController(writer).Flush(); err != nil {
+		s.log.Debug("answer not flushed", slog.Any("error", err))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Server) handle(ctx context.Context, exchange *ferry.Exchange) error {
 	if exchange.Snapshot == nil {
 		return &ferry.RefusalError{
