member: tell the others of a planned stop at once

Cause: TestPlannedStopCutsNothing failed in a run of the checks. The lost requests were refused as AllowanceUnknown after exactly 1 s: the leaving VM gives its shards back at once, but the others heard of it with its next heartbeat, up to 1 s later, and asked and lent to it until then. Change: the start of a planned stop sends a heartbeat to every VM. TestLeaving now expects the others to know at once and fails without the change.

--- a/member/controller.go
+++ b/member/controller.go
@@ -180,6 +180,11 @@
 		c.onBeat(now, event)
 	case LeaveEvent:
 		c.self.Leaving = true
+		// The others must not wait for the next heartbeat to learn of it.
+		for _, r := range c.records {
+			r.beatAt = now.Add(-BeatInterval)
+		}
+		actions = c.beats(now)
 	case TickEvent:
 		actions = c.beats(now)
 	}
--- a/member/controller_test.go
+++ b/member/controller_test.go
@@ -135,6 +135,7 @@
 	f := newFleet(3)
 	f.run(3 * time.Second)
 	f.step("vm-2", LeaveEvent{})
+	is.Equal(f.up("vm-0"), 2) // the others know at once
 	f.run(2 * time.Second)
 	is.Equal(f.up("vm-0"), 2)
 	is.Equal(f.up("vm-2"), 2) // it sees itself leave
