proxy: let the golden sessions wait for what the targets receive

The caller has its 413 before the scripted target has read the cut request, and the session read the target's bytes at once. Ruled out: a lost flush in the transport. Each chunk is flushed before the connection is closed, and the target always receives the same bytes. Change: the session waits until each chosen target has served its connection. Conclusion: the fault was in the test; the expected bytes are unchanged.

--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -69,6 +69,7 @@
 	}
 	fixture := newFixture(t, []string{scripts["target-1"], scripts["target-2"]})
 	answer := fixture.exchange(t, wireText(scripts["caller"]))
+	fixture.awaitTargets(t)
 	for i, received := range fixture.received() {
 		if received != "" {
 			played.Files = append(played.Files, txtar.File{Name: fmt.Sprintf("want-target-%d", i+1), Data: []byte(plainText(received))})
@@ -240,6 +241,22 @@
 	return f
 }
 
+// awaitTargets waits until every target that was chosen has read its request.
+// A target may still read after the caller has its answer.
+func (f *fixture) awaitTargets(t *testing.T) {
+	t.Helper()
+	f.mu.Lock()
+	chosen := f.targets[:f.next]
+	f.mu.Unlock()
+	for _, target := range chosen {
+		select {
+		case <-target.served:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("the target at %v served no connection", target.address)
+		}
+	}
+}
+
 // received returns the bytes that each target received.
 func (f *fixture) received() []string {
 	var all []string
@@ -275,6 +292,9 @@
 type scriptedTarget struct {
 	address  netip.AddrPort
 	received *syncBuffer
+	// served is closed when the target has served its first connection.
+	served     chan struct{}
+	servedOnce sync.Once
 }
 
 // Scripts other than the bytes of an answer.
@@ -290,8 +310,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	target := &scriptedTarget{address: netip.MustParseAddrPort(listener.Addr().String()), received: &syncBuffer{}}
+	target := &scriptedTarget{address: netip.MustParseAddrPort(listener.Addr().String()), received: &syncBuffer{}, served: make(chan struct{})}
 	if script == scriptRefuse {
+		close(target.served)
 		_ = listener.Close()
 		return target
 	}
@@ -310,6 +331,7 @@
 
 // serve reads one request and plays the script.
 func (s *scriptedTarget) serve(conn net.Conn, script string) {
+	defer s.servedOnce.Do(func() { close(s.served) })
 	defer func() { _ = conn.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(io.TeeReader(conn, s.received)))
 	if err != nil {
