host: prove the promises across cuts of real sessions

Cause: cuts were brought about at the controllers only; nothing showed that the loops, the sessions and the lines between them keep the promises. Ruled out: relays in front of the VMs. A hello carries the real address of its sender, and the next session goes round the relay. Change: ferry.Dialer opens the sessions between VMs. fake.Network implements it for tests: each direction between two VMs can be cut and delayed by itself, and what was sent into a cut arrives after it. TestCuts runs three cuts under 1.25 times the allowance with a change of the configuration during the cut. make generate takes the version of wire from the Makefile, as its own dependencies are not in go.sum. A lender that forgets open loans is not caught here, as the views of these cuts never let two holders ask in one term; the rule tests of package limit catch it. Conclusion: the promises hold across these cuts; VMs as separate processes are still cut off only by kills.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 TOOLS := bin/tools
 LINT_VERSION := v2.12.2
 FUMPT_VERSION := v0.9.2
+WIRE_VERSION := v0.7.0
 
 .PHONY: demo build test lint race unit generate
 
@@ -34,4 +35,4 @@
 	GOBIN=$(CURDIR)/$(TOOLS) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go
 	GOBIN=$(CURDIR)/$(TOOLS) $(GO) install github.com/bufbuild/buf/cmd/buf@v1.71.0
 	PATH=$(CURDIR)/$(TOOLS):$$PATH $(TOOLS)/buf generate
-	$(GO) run github.com/google/wire/cmd/wire gen ./cmd/monsoonferry
+	$(GO) run github.com/google/wire/cmd/wire@$(WIRE_VERSION) gen ./cmd/monsoonferry
--- a/cmd/monsoonferry/wire.go
+++ b/cmd/monsoonferry/wire.go
@@ -11,6 +11,7 @@
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/host"
+	"monsoonferry.org/ferry/peer"
 	"monsoonferry.org/ferry/store"
 )
 
@@ -20,6 +21,7 @@
 		ferry.NewSystemClock, wire.Bind(new(ferry.Clock), new(ferry.SystemClock)),
 		wire.FieldsOf(new(conf.Settings), "Platform"),
 		store.NewClient, wire.Bind(new(ferry.Store), new(*store.Client)),
+		wire.Struct(new(peer.TCPDialer)), wire.Bind(new(ferry.Dialer), new(peer.TCPDialer)),
 		host.NewLogger, metrics.NewSet, host.New,
 	)
 	return nil, nil
--- a/cmd/monsoonferry/wire_gen.go
+++ b/cmd/monsoonferry/wire_gen.go
@@ -7,12 +7,12 @@
 package main
 
 import (
-	"io"
-
 	"github.com/VictoriaMetrics/metrics"
+	"io"
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/host"
+	"monsoonferry.org/ferry/peer"
 	"monsoonferry.org/ferry/store"
 )
 
@@ -24,8 +24,9 @@
 	logger := host.NewLogger(settings, w)
 	v := settings.Platform
 	client := store.NewClient(v)
+	tcpDialer := peer.TCPDialer{}
 	set := metrics.NewSet()
-	hostHost, err := host.New(settings, systemClock, logger, client, set)
+	hostHost, err := host.New(settings, systemClock, logger, client, tcpDialer, set)
 	if err != nil {
 		return nil, err
 	}
--- a/control.go
+++ b/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 )
 
@@ -26,6 +27,13 @@
 	Watch(ctx context.Context, name string, after uint64) (Value, error)
 }
 
+// Dialer connects this VM with the others.
+type Dialer interface {
+	// Dial opens a connection to the address at which the VM serves its peers.
+	// It gives up when ctx ends.
+	Dial(ctx context.Context, vm VM) (net.Conn, error)
+}
+
 // Permit is the right to send one request of a client account. It must be
 // given back with Spend or Return exactly once.
 type Permit interface {
--- /dev/null
+++ b/fake/network.go
@@ -0,0 +1,154 @@
+package fake
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"monsoonferry.org/ferry"
+)
+
+const (
+	// chunkBytes is the size of the pieces that a connection carries.
+	chunkBytes = 32 << 10
+	// chunkQueue is the number of pieces that are on their way. A sender that
+	// is cut off blocks when they are used up.
+	chunkQueue = 16
+)
+
+// Path is one direction between two VMs.
+type Path struct {
+	From ferry.VM
+	To   ferry.VM
+}
+
+// Network connects VMs over TCP. Each direction between two VMs can be cut and
+// delayed by itself. What is sent into a cut arrives after it, as long as the
+// connection lives. The zero Network passes everything on at once. It is safe
+// for concurrent use.
+type Network struct {
+	// Delay returns the time that bytes take on a path. Nil means none.
+	Delay func(Path) time.Duration
+
+	mu      sync.Mutex
+	cut     func(Path) bool
+	changed chan struct{}
+}
+
+// SetCut cuts the paths for which cut returns true and heals all others. Nil
+// heals all.
+func (n *Network) SetCut(cut func(Path) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+	if n.changed != nil {
+		close(n.changed)
+	}
+	n.changed = make(chan struct{})
+}
+
+// state reports whether a path is cut and returns a channel that closes at the
+// next change.
+func (n *Network) state(path Path) (isCut bool, changed <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.changed == nil {
+		n.changed = make(chan struct{})
+	}
+	return n.cut != nil && n.cut(path), n.changed
+}
+
+// pass waits until the path is open. It reports false when stop closes first.
+func (n *Network) pass(path Path, stop <-chan struct{}) bool {
+	for {
+		isCut, changed := n.state(path)
+		if !isCut {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-stop:
+			return false
+		}
+	}
+}
+
+func (n *Network) delay(path Path) time.Duration {
+	if n.Delay == nil {
+		return 0
+	}
+	return n.Delay(path)
+}
+
+// Dialer returns the dialer of one VM. It implements ferry.Dialer.
+func (n *Network) Dialer(self ferry.VM) ferry.Dialer { return networkDialer{network: n, self: self} }
+
+// networkDialer is the side of one VM.
+type networkDialer struct {
+	network *Network
+	self    ferry.VM
+}
+
+// Dial implements ferry.Dialer. Both directions must be open.
+func (d networkDialer) Dial(ctx context.Context, vm ferry.VM) (net.Conn, error) {
+	forth, back := Path{From: d.self, To: vm}, Path{From: vm, To: d.self}
+	for _, path := range []Path{forth, back} {
+		if !d.network.pass(path, ctx.Done()) {
+			return nil, trace.Wrap(ctx.Err())
+		}
+	}
+	var dialer net.Dialer
+	far, err := dialer.DialContext(ctx, "tcp", vm.Peers.String())
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	near, inside := net.Pipe()
+	carry := func(path Path, from, to net.Conn) {
+		pieces := make(chan piece, chunkQueue)
+		go collect(from, pieces, d.network.delay(path))
+		go d.network.deliver(path, to, pieces)
+	}
+	carry(forth, inside, far)
+	carry(back, far, inside)
+	return near, nil
+}
+
+// piece is a part of the bytes of a connection on its way.
+type piece struct {
+	body []byte
+	due  time.Time
+}
+
+// collect reads a connection until it ends.
+func collect(from net.Conn, pieces chan<- piece, delay time.Duration) {
+	defer close(pieces)
+	for {
+		buffer := make([]byte, chunkBytes)
+		count, err := from.Read(buffer)
+		if count > 0 {
+			pieces <- piece{body: buffer[:count], due: time.Now().Add(delay)}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// deliver writes the pieces to a connection and closes it behind the last one.
+// A failed write drops the rest.
+func (n *Network) deliver(path Path, to net.Conn, pieces <-chan piece) {
+	var err error
+	for p := range pieces {
+		if err != nil {
+			continue
+		}
+		time.Sleep(time.Until(p.due))
+		n.pass(path, nil)
+		_, err = to.Write(p.body)
+	}
+	n.pass(path, nil)
+	_ = to.Close()
+}
--- a/gossip/doc.go
+++ b/gossip/doc.go
@@ -15,7 +15,7 @@
 //
 // # Usage
 //
-//	controller := gossip.NewController(config)
+//	controller := gossip.NewController()
 //	for _, action := range controller.Step(now, gossip.ManifestEvent{Body: text}) {
 //		switch action := action.(type) {
 //		case gossip.FetchAction:
--- /dev/null
+++ b/host/cut_test.go
@@ -0,0 +1,134 @@
+package host
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/fake"
+	"monsoonferry.org/ferry/limit"
+	"monsoonferry.org/ferry/load"
+)
+
+// hasVersion reports whether all given VMs have a version in force.
+func hasVersion(version string, vms ...*benchVM) bool {
+	for _, v := range vms {
+		if !strings.HasPrefix(v.host.Status().Stamp, version+"-") {
+			return false
+		}
+	}
+	return true
+}
+
+// firstHolders returns the holder of a client account's allowance and the VM
+// that holds it when the first one is down.
+func firstHolders(account ferry.AccountID, vms ...ferry.VMID) map[ferry.VMID]bool {
+	shard := limit.ShardOf(account)
+	first := limit.Place(vms)[shard]
+	rest := slices.DeleteFunc(vms, func(id ferry.VMID) bool { return id == first })
+	return map[ferry.VMID]bool{first: true, limit.Place(rest)[shard]: true}
+}
+
+// TestCuts cuts paths between four VMs in two places for longer than a lease
+// lives, under load above the allowance, and changes the configuration
+// meanwhile. The promises hold throughout, and the change is in force
+// everywhere after the cut.
+func TestCuts(t *testing.T) {
+	holders := firstHolders("one", "vm-0", "vm-1", "vm-2", "vm-3")
+	for _, test := range []struct {
+		name string
+		cut  func(fake.Path) bool
+		// up is the number of VMs that the VMs see during the cut, in rising
+		// order.
+		up []int
+		// isolated are the VMs that the change does not reach.
+		isolated []int
+	}{
+		{
+			name:     "into-a-place",
+			cut:      func(path fake.Path) bool { return path.To.Place == "p2" && path.From.Place == "p1" },
+			up:       []int{2, 2, 2, 2},
+			isolated: []int{1, 3},
+		},
+		{
+			name:     "between-places",
+			cut:      func(path fake.Path) bool { return path.To.Place != path.From.Place },
+			up:       []int{2, 2, 2, 2},
+			isolated: []int{1, 3},
+		},
+		{
+			// The other two VMs see both and are asked for their shares by both.
+			name: "between-two-holders",
+			cut: func(path fake.Path) bool {
+				return holders[path.From.ID] && holders[path.To.ID]
+			},
+			up: []int{3, 3, 4, 4},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newBench(t, 4, 4)
+			allowance := load.Allowance{Rate: 80, Burst: 20}
+			for i := range b.inventory.Accounts {
+				b.inventory.Accounts[i].Rate, b.inventory.Accounts[i].Burst = allowance.Rate, allowance.Burst
+			}
+			b.start(4)
+			b.awaitAllowance()
+			reports := b.traffic(14 * time.Second)
+			time.Sleep(time.Second)
+			b.network.SetCut(test.cut)
+			b.await("the views follow the cut", func() bool {
+				var up []int
+				for _, v := range b.vms {
+					up = append(up, v.host.Status().Up)
+				}
+				slices.Sort(up)
+				return slices.Equal(up, test.up)
+			})
+			b.changeDuringCut(test.isolated)
+			time.Sleep(4 * time.Second)
+			for _, i := range test.isolated {
+				is.True(hasVersion("1", b.vms[i])) // nothing reaches the isolated VMs
+			}
+			b.network.SetCut(nil)
+			b.await("version 2 is in force everywhere", func() bool { return hasVersion("2", b.vms...) })
+			report := <-reports
+			_, promises := b.judgeWith(report, map[string]load.Allowance{"one": allowance, "two": allowance})
+			is.Equal(promises, load.Promises{})
+			late := 0
+			for _, result := range report.Results {
+				if result.At > 13*time.Second && result.Status == http.StatusOK {
+					late++
+				}
+			}
+			is.True(late > 50) // all sides serve again
+		})
+	}
+}
+
+// changeDuringCut publishes version 2. The isolated VMs are cut off from the
+// platform as well; the others take it into use.
+func (b *bench) changeDuringCut(isolated []int) {
+	b.t.Helper()
+	lost := map[ferry.VMID]bool{}
+	for _, i := range isolated {
+		b.vms[i].isPlatformLost.Store(true)
+		lost[b.vms[i].settings.ID] = true
+	}
+	b.inventory.Version = 2
+	b.publish()
+	b.await("version 2 is in force on the other VMs", func() bool {
+		for _, v := range b.vms {
+			if !lost[v.settings.ID] && !hasVersion("2", v) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/host/doc.go
+++ b/host/doc.go
@@ -10,6 +10,6 @@
 //
 // # Usage
 //
-//	h, err := host.New(settings, clock, logger, store, metrics)
+//	h, err := host.New(settings, clock, logger, store, dialer, metrics)
 //	err = h.Run(ctx)
 package host
--- a/host/host.go
+++ b/host/host.go
@@ -47,7 +47,7 @@
 
 // New assembles a host. It returns an error when the credentials cannot be
 // read.
-func New(settings conf.Settings, clock ferry.Clock, logger Logger, store ferry.Store, set *metrics.Set) (h *Host, err error) {
+func New(settings conf.Settings, clock ferry.Clock, logger Logger, store ferry.Store, dialer ferry.Dialer, set *metrics.Set) (h *Host, err error) {
 	h = &Host{
 		settings: settings, clock: clock, log: logger.Log, level: logger.Level, store: store, metrics: set,
 		drain: make(chan struct{}, 1),
@@ -65,7 +65,7 @@
 	}
 	incarnation := newIncarnation()
 	dial, serve := peerTLS.PeerConfigs()
-	h.mesh = peer.NewMesh(peer.Config{Self: self, Incarnation: incarnation, DialTLS: dial, ServeTLS: serve, Log: h.log})
+	h.mesh = peer.NewMesh(peer.Config{Self: self, Incarnation: incarnation, DialTLS: dial, ServeTLS: serve, Dialer: dialer, Log: h.log})
 	picker := route.NewPicker(settings.Place)
 	h.allowance = newAllowanceLoop(limit.Process{VM: self.ID, Incarnation: incarnation}, clock, h.log, h.mesh)
 	h.detection = newDetectionLoop(self, clock, h.log, h.mesh, h.allowance, picker)
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,6 +41,7 @@
 	inventory *ferry.Inventory
 	vms       []*benchVM
 	peerTLS   conf.TLSFiles
+	network   fake.Network
 }
 
 // benchVM is one VM of a bench.
@@ -48,6 +50,31 @@
 	host     *Host
 	cancel   context.CancelFunc
 	done     chan error
+	// isPlatformLost cuts this VM off from the platform.
+	isPlatformLost atomic.Bool
+}
+
+// lossyStore is a platform whose answers one VM does not get while isLost.
+type lossyStore struct {
+	ferry.Store
+	isLost *atomic.Bool
+}
+
+// Watch implements ferry.Store.
+func (s lossyStore) Watch(ctx context.Context, name string, after uint64) (ferry.Value, error) {
+	value, err := s.Store.Watch(ctx, name, after)
+	if s.isLost.Load() {
+		return ferry.Value{}, errPlatformLost
+	}
+	return value, err
+}
+
+var errPlatformLost = errors.New("the platform is cut off")
+
+// listed returns the VM as the platform lists it.
+func (v *benchVM) listed() ferry.VM {
+	s := v.settings
+	return ferry.VM{ID: s.ID, Place: s.Place, Callers: s.Callers, Peers: s.Peers, Admin: s.Admin}
 }
 
 func key(account string) string { return fake.KeyMark + account }
@@ -129,7 +156,7 @@
 func (b *bench) launch(v *benchVM) {
 	b.t.Helper()
 	logger := Logger{Log: slog.New(slog.DiscardHandler), Level: &slog.LevelVar{}}
-	host, err := New(v.settings, ferry.NewSystemClock(), logger, store.NewClient(v.settings.Platform), metrics.NewSet())
+	host, err := New(v.settings, ferry.NewSystemClock(), logger, lossyStore{Store: store.NewClient(v.settings.Platform), isLost: &v.isPlatformLost}, b.network.Dialer(v.listed()), metrics.NewSet())
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -163,8 +190,7 @@
 	}
 	list := ferry.VMList{Version: b.inventory.Version}
 	for _, v := range b.vms {
-		s := v.settings
-		list.VMs = append(list.VMs, ferry.VM{ID: s.ID, Place: s.Place, Callers: s.Callers, Peers: s.Peers, Admin: s.Admin})
+		list.VMs = append(list.VMs, v.listed())
 	}
 	text, err := conf.FormatVMList(list)
 	if err != nil {
--- a/peer/link.go
+++ b/peer/link.go
@@ -49,10 +49,9 @@
 
 // session dials the VM and sends until something fails.
 func (l *link) session(ctx context.Context) (err error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
 	var conn net.Conn
-	if conn, err = dialer.DialContext(ctx, "tcp", l.vm.Peers.String()); err != nil {
-		return trace.Wrap(err)
+	if conn, err = l.dial(ctx); err != nil {
+		return err
 	}
 	defer func() { _ = conn.Close() }()
 	if l.mesh.config.DialTLS != nil {
@@ -77,6 +76,26 @@
 	return group.Wait()
 }
 
+// dial connects within dialTimeout.
+func (l *link) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return l.mesh.config.Dialer.Dial(ctx, l.vm)
+}
+
+// TCPDialer implements ferry.Dialer.
+type TCPDialer struct{}
+
+// Dial implements ferry.Dialer.
+func (TCPDialer) Dial(ctx context.Context, vm ferry.VM) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", vm.Peers.String())
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return conn, nil
+}
+
 // pump sends the messages of one queue on a stream of its own.
 func (l *link) pump(ctx context.Context, session *yamux.Session, queue <-chan Message) (err error) {
 	var stream *yamux.Stream
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -49,7 +49,9 @@
 	// DialTLS and ServeTLS secure the sessions. Nil means plain text.
 	DialTLS  *tls.Config
 	ServeTLS *tls.Config
-	Log      *slog.Logger
+	// Dialer opens the sessions. Nil means TCP.
+	Dialer ferry.Dialer
+	Log    *slog.Logger
 }
 
 // Mesh is the set of sessions with the other VMs. It is safe for concurrent
@@ -70,6 +72,9 @@
 
 // NewMesh returns a mesh without sessions.
 func NewMesh(config Config) *Mesh {
+	if config.Dialer == nil {
+		config.Dialer = TCPDialer{}
+	}
 	return &Mesh{
 		config:  config,
 		self:    limit.Process{VM: config.Self.ID, Incarnation: config.Incarnation},
