health: drop unreported evidence when a target is reset

One VM had ended with a nil pointer: Report looked for the score of a target whose scores Reset had cleared between an attempt and the report. A VM that decides an ejection could end itself, and its accounts lost their holder. Ruled out: the new dialer, as the loops of the lost VM ran until the panic; the replaced VM, which had the new version in force. Change: Reset also drops what is not reported yet; it belongs to the stage before. The demonstration also freezes a VM for 4 s while the platform is away, and a VM that ends by itself breaks the run.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -5,8 +5,8 @@
 //
 // A run starts a platform, six VMs in three regions of two places and the
 // targets of both workloads, each as a process. It sends traffic for a fixed
-// time while it turns one target gray, kills one VM, withdraws a key and takes
-// the platform away. At the end it compares what callers and targets saw.
+// time while it turns one target gray, kills one VM, withdraws a key, takes the
+// platform away and freezes another VM. At the end it compares what callers and targets saw.
 //
 // # Usage
 //
@@ -21,6 +21,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -68,12 +69,14 @@
 // Times of a run.
 const (
 	readyTimeout  = 30 * time.Second
-	trafficTime   = 22 * time.Second
+	trafficTime   = 26 * time.Second
 	grayAt        = 3 * time.Second
 	killAt        = 8 * time.Second
 	replaceAt     = 10 * time.Second
 	withdrawAt    = 12 * time.Second
 	platformAt    = 16 * time.Second
+	freezeAt      = 18 * time.Second
+	wakeAt        = 22 * time.Second
 	pollInterval  = 50 * time.Millisecond
 	changeTimeout = 7 * time.Second
 	warmUpTime    = 4 * time.Second
@@ -169,7 +172,27 @@
 		return err
 	}
 	f.say("%v: the platform is taken away", platformAt)
-	return f.post(ctx, f.platform.address, "/control/mode", string(fake.ModeDown))
+	if err = f.post(ctx, f.platform.address, "/control/mode", string(fake.ModeDown)); err != nil {
+		return err
+	}
+	return f.freezeVM(f.vms[frozenVM], at)
+}
+
+// freezeVM suspends a VM for longer than its leases and grants live. It wakes
+// with an old view and with requests that it had accepted.
+func (f *fleet) freezeVM(v *vm, at func(time.Duration) error) (err error) {
+	if err = at(freezeAt); err != nil {
+		return err
+	}
+	f.say("%v: VM %s is frozen", freezeAt, v.id)
+	if err = v.command.Process.Signal(syscall.SIGSTOP); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err = at(wakeAt); err != nil {
+		return err
+	}
+	f.say("%v: VM %s wakes", wakeAt, v.id)
+	return trace.ConvertSystemError(v.command.Process.Signal(syscall.SIGCONT))
 }
 
 // judge compares what callers and targets saw.
@@ -201,9 +224,21 @@
 	}
 	result.WrongfulShare = float64(result.WrongfulRefusals) / float64(max(1, ideal))
 	result.Broken = append(result.Broken, broken(result.Promises)...)
+	result.Broken = append(result.Broken, f.crashed()...)
 	return nil
 }
 
+// crashed names the VMs that ended by themselves.
+func (f *fleet) crashed() []string {
+	var names []string
+	for _, v := range f.vms {
+		if v.hasEnded() && !v.isKilled() {
+			names = append(names, fmt.Sprintf("VM %s ended by itself", v.id))
+		}
+	}
+	return names
+}
+
 // broken names the promises of which a breach was counted.
 func broken(promises load.Promises) []string {
 	var names []string
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -34,6 +34,8 @@
 	adviceTime       = "8ms"
 	orderTime        = "12ms"
 	withdrawnAccount = "clinic-4"
+	// frozenVM is the position of the VM that is frozen for a while.
+	frozenVM = 1
 	// pairAccount has an allowance that a pair does not use up.
 	pairAccount = "pair"
 )
@@ -54,6 +56,16 @@
 	<-p.done
 }
 
+// hasEnded reports whether the process no longer runs.
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *process) isKilled() bool { return p.killed.Load() }
 
 // vm is a process of the fleet.
--- a/health/detector.go
+++ b/health/detector.go
@@ -253,10 +253,12 @@
 	return Score{}
 }
 
-// Reset forgets what all places saw of a target.
+// Reset forgets what all places saw of a target, and what this VM has not
+// reported yet.
 func (d *Detector) Reset(id ferry.TargetID) {
 	if o := d.targets[id]; o != nil {
 		clear(o.scores)
+		o.unsent = Increment{}
 	}
 }
 
