golden: play sessions of whole VMs with a fake clock

Cause: only requests had golden sessions. Configuration, membership and planned stops were tested at the controllers and, without their logs, in real time. Ruled out: a fake clock inside the controllers' tests, which leaves out the loops and the lines between VMs; real time, which asserts times. Change: Host.Serve takes its sockets, the store its transport, and fake.Network its connections, so that complete VMs run in a bubble of testing/synctest over pipes. A VM called a failing platform 4 times a second and logged each call; the pause now doubles, up to 2 s for readers and 20 s for others, and the first failure and the recovery are logged. The log shows a view only when its numbers change.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	.ci/unit
 
 race:
-	$(GO) test -race -count=1 ./limit ./queue ./route ./peer ./proxy ./health ./host
+	$(GO) test -race -count=1 ./limit ./queue ./route ./peer ./proxy ./health ./host ./golden
 
 lint: $(TOOLS)/golangci-lint
 	$(TOOLS)/golangci-lint run
--- a/fake/network.go
+++ b/fake/network.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/peer"
 )
 
 const (
@@ -16,7 +17,7 @@
 	chunkBytes = 32 << 10
 	// chunkQueue is the number of pieces that are on their way. A sender that
 	// is cut off blocks when they are used up.
-	chunkQueue = 16
+	chunkQueue = 256
 )
 
 // Path is one direction between two VMs.
@@ -25,13 +26,15 @@
 	To   ferry.VM
 }
 
-// Network connects VMs over TCP. Each direction between two VMs can be cut and
+// Network connects VMs. Each direction between two VMs can be cut and
 // delayed by itself. What is sent into a cut arrives after it, as long as the
 // connection lives. The zero Network passes everything on at once. It is safe
 // for concurrent use.
 type Network struct {
 	// Delay returns the time that bytes take on a path. Nil means none.
 	Delay func(Path) time.Duration
+	// Connect opens the connections that carry the bytes. Nil means TCP.
+	Connect func(ctx context.Context, vm ferry.VM) (net.Conn, error)
 
 	mu      sync.Mutex
 	cut     func(Path) bool
@@ -83,6 +86,13 @@
 	return n.Delay(path)
 }
 
+func (n *Network) connect(ctx context.Context, vm ferry.VM) (net.Conn, error) {
+	if n.Connect != nil {
+		return n.Connect(ctx, vm)
+	}
+	return peer.TCPDialer{}.Dial(ctx, vm)
+}
+
 // Dialer returns the dialer of one VM. It implements ferry.Dialer.
 func (n *Network) Dialer(self ferry.VM) ferry.Dialer { return networkDialer{network: n, self: self} }
 
@@ -100,10 +110,9 @@
 			return nil, trace.Wrap(ctx.Err())
 		}
 	}
-	var dialer net.Dialer
-	far, err := dialer.DialContext(ctx, "tcp", vm.Peers.String())
+	far, err := d.network.connect(ctx, vm)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return nil, trace.Wrap(err)
 	}
 	near, inside := net.Pipe()
 	carry := func(path Path, from, to net.Conn) {
@@ -146,7 +155,10 @@
 			continue
 		}
 		time.Sleep(time.Until(p.due))
-		n.pass(path, nil)
+		if isCut, _ := n.state(path); isCut {
+			n.pass(path, nil)
+			time.Sleep(n.delay(path))
+		}
 		_, err = to.Write(p.body)
 	}
 	n.pass(path, nil)
--- /dev/null
+++ b/golden/session_test.go
@@ -0,0 +1,384 @@
+package golden
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/fake"
+	"monsoonferry.org/ferry/host"
+	"monsoonferry.org/ferry/store"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// TestSessions plays sessions of whole VMs with a fake clock. Each golden file
+// holds a script and the log of all VMs. A line of a script is a time and a
+// command:
+//
+//	publish VERSION           publish an inventory with all VMs
+//	bad VERSION               publish an inventory that no VM accepts
+//	start, kill, drain VM...
+//	platform MODE             change the way in which the platform works
+//	lose, find VM...          cut VMs off from the platform, and end that
+//	cut PLACE                 lose what is sent to a place
+//	heal                      end all cuts
+//	end
+func TestSessions(t *testing.T) {
+	names, err := filepath.Glob("testdata/session/*.txtar")
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no sessions: %v", err)
+	}
+	archives := map[string]*txtar.Archive{}
+	logs := map[string]string{}
+	for _, name := range names {
+		if archives[name], err = txtar.ParseFile(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		for _, name := range names {
+			logs[name] = playSession(t, string(archives[name].Files[0].Data))
+		}
+	})
+	for _, name := range names {
+		t.Run(strings.TrimSuffix(filepath.Base(name), ".txtar"), func(t *testing.T) {
+			is := is.New(t)
+			archive := archives[name]
+			played := &txtar.Archive{
+				Comment: archive.Comment,
+				Files:   []txtar.File{archive.Files[0], {Name: "log", Data: []byte(logs[name])}},
+			}
+			if *update {
+				is.NoErr(os.WriteFile(name, txtar.Format(played), 0o600))
+				return
+			}
+			is.Equal(string(txtar.Format(played)), string(txtar.Format(archive)))
+		})
+	}
+}
+
+// session is a fleet in memory.
+type session struct {
+	t        *testing.T
+	start    time.Time
+	platform *fake.Platform
+	network  *fake.Network
+	vms      map[ferry.VMID]*sessionVM
+
+	mu    sync.Mutex
+	lines []string
+}
+
+// sessionVM is one VM of a session.
+type sessionVM struct {
+	vm     ferry.VM
+	host   *host.Host
+	peers  *pipeListener
+	cancel context.CancelFunc
+	done   chan struct{}
+	// isPlatformLost cuts the VM off from the platform.
+	isPlatformLost atomic.Bool
+}
+
+const (
+	// sessionVMs is the number of VMs that a session may start. Odd ones stand
+	// in place p2. The platform lists all but the last one.
+	sessionVMs = 4
+	// sessionDelay keeps messages of two VMs, and messages and ticks, from
+	// coming at the same moment. For the same reason scripts use moments of their
+	// own for each command. The delay of a VM is a multiple of it.
+	sessionDelay = time.Millisecond
+)
+
+// playSession carries out a script and returns the log of all VMs.
+func playSession(t *testing.T, script string) string {
+	s := &session{
+		t: t, start: time.Now(), platform: fake.NewPlatform(), network: &fake.Network{}, vms: map[ferry.VMID]*sessionVM{},
+	}
+	s.network.Connect = s.connect
+	s.network.Delay = func(path fake.Path) time.Duration {
+		return sessionDelay * time.Duration(path.From.Callers.Addr().As4()[3])
+	}
+	for i := range sessionVMs {
+		id := ferry.VMID("vm-" + strconv.Itoa(i))
+		address := func(port int) netip.AddrPort {
+			return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), uint16(port))
+		}
+		s.vms[id] = &sessionVM{vm: ferry.VM{
+			ID: id, Place: ferry.PlaceID("p" + strconv.Itoa(i%2+1)), Callers: address(1), Peers: address(2), Admin: address(3),
+		}}
+	}
+	for line := range strings.Lines(script) {
+		fields := strings.Fields(line)
+		at, err := time.ParseDuration(fields[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(at - time.Since(s.start))
+		s.note("----", strings.Join(fields[1:], " "))
+		s.do(fields[1], fields[2:])
+		synctest.Wait()
+	}
+	s.network.SetCut(nil)
+	for _, v := range s.vms {
+		s.kill(v)
+	}
+	time.Sleep(time.Minute) // what is still on its way arrives
+	return s.text()
+}
+
+// do carries out one command.
+func (s *session) do(command string, args []string) {
+	switch command {
+	case "publish", "bad":
+		version, err := strconv.ParseUint(args[0], 10, 64)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.publish(version, command == "bad")
+	case "platform":
+		s.platform.SetMode(fake.Mode(args[0]))
+	case "cut":
+		s.network.SetCut(func(path fake.Path) bool {
+			return string(path.To.Place) == args[0] && string(path.From.Place) != args[0]
+		})
+	case "heal":
+		s.network.SetCut(nil)
+	case "start", "kill", "drain", "lose", "find":
+		for _, id := range args {
+			s.operate(command, s.vms[ferry.VMID(id)])
+		}
+	case "end":
+		s.note("----", fmt.Sprintf("platform calls=%d", s.platform.Calls()))
+	default:
+		s.t.Fatalf("unknown command %q", command)
+	}
+}
+
+func (s *session) operate(command string, v *sessionVM) {
+	switch command {
+	case "start":
+		s.launch(v)
+	case "kill":
+		s.kill(v)
+	case "drain":
+		v.host.Drain()
+	case "lose", "find":
+		v.isPlatformLost.Store(command == "lose")
+	}
+}
+
+// publish writes an inventory and the list of the VMs that run to the platform.
+func (s *session) publish(version uint64, isBad bool) {
+	inventory := &ferry.Inventory{
+		Version: version, MaxVMs: sessionVMs,
+		Places:   []ferry.Place{{ID: "p1", Region: "r1"}, {ID: "p2", Region: "r2"}},
+		Services: []ferry.Service{{ID: "orders", Rules: ferry.Rules{}.Normal()}},
+		Accounts: []ferry.Account{{ID: "clinic", Rate: 10 + float64(version), Burst: 10}},
+	}
+	if isBad {
+		inventory.Accounts[0].Rate = -1
+	}
+	manifest, parts, err := conf.Split(inventory)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	list := ferry.VMList{Version: version}
+	for i := range sessionVMs - 1 {
+		list.VMs = append(list.VMs, s.vms[ferry.VMID("vm-"+strconv.Itoa(i))].vm)
+	}
+	parts[conf.VMListName], err = conf.FormatVMList(list)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for name, body := range parts {
+		s.platform.Publish(name, body)
+	}
+	text, err := conf.FormatManifest(manifest)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.platform.Publish(conf.ManifestName, text)
+}
+
+// launch starts the process of a VM.
+func (s *session) launch(v *sessionVM) {
+	platform := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.9:1")}
+	settings := conf.Settings{ID: v.vm.ID, Place: v.vm.Place, Callers: v.vm.Callers, Peers: v.vm.Peers, Admin: v.vm.Admin, Platform: platform}
+	logger := host.Logger{Log: slog.New(sessionLog{session: s, vm: v.vm.ID}), Level: &slog.LevelVar{}}
+	client := store.NewClientOver(platform, handlerTransport{handler: s.platform, isLost: &v.isPlatformLost})
+	started, err := host.New(settings, ferry.NewSystemClock(), logger, client, s.network.Dialer(v.vm), metrics.NewSet())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	listeners := host.Listeners{Callers: newPipeListener(), Peers: newPipeListener(), Admin: newPipeListener()}
+	done := make(chan struct{})
+	s.mu.Lock()
+	v.host, v.cancel, v.done = started, cancel, done
+	v.peers = listeners.Peers.(*pipeListener)
+	s.mu.Unlock()
+	go func() {
+		defer close(done)
+		if err := started.Serve(ctx, listeners); err != nil {
+			s.t.Error(err)
+		}
+	}()
+}
+
+func (s *session) kill(v *sessionVM) {
+	if v.cancel != nil {
+		v.cancel()
+		<-v.done
+	}
+}
+
+// connect reaches the listener for peers of a VM.
+func (s *session) connect(ctx context.Context, vm ferry.VM) (net.Conn, error) {
+	s.mu.Lock()
+	listener := s.vms[vm.ID].peers
+	s.mu.Unlock()
+	if listener == nil {
+		return nil, trace.ConnectionProblem(nil, "nothing listens")
+	}
+	near, far := net.Pipe()
+	select {
+	case listener.conns <- far:
+		return near, nil
+	case <-listener.closed:
+		return nil, trace.ConnectionProblem(nil, "nothing listens")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// note adds a line to the log of the session.
+func (s *session) note(who, what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, fmt.Sprintf("%7.3f %-4s %s", time.Since(s.start).Seconds(), who, what))
+}
+
+// text returns the log. Lines of the same moment are in the order of the VMs
+// and of their messages, since goroutines may write them in any order; of the
+// views that a VM takes in one moment, the last one counts.
+func (s *session) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	const keyFields = 3
+	key := func(line string) string {
+		if fields := strings.Fields(line); len(fields) > keyFields && fields[keyFields-1] == "view" {
+			return strings.Join(fields[:keyFields], " ")
+		}
+		return line
+	}
+	last := map[string]string{}
+	for _, line := range s.lines {
+		last[key(line)] = line
+	}
+	var lines []string
+	for _, line := range last {
+		lines = append(lines, line)
+	}
+	slices.SortFunc(lines, cmp.Compare)
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// sessionLog writes records to the log of a session.
+type sessionLog struct {
+	slog.Handler
+	session *session
+	vm      ferry.VMID
+}
+
+// Enabled implements slog.Handler.
+func (l sessionLog) Enabled(_ context.Context, level slog.Level) bool { return level >= slog.LevelInfo }
+
+// Handle implements slog.Handler. Texts of errors are left out, as they belong
+// to libraries.
+func (l sessionLog) Handle(_ context.Context, record slog.Record) error {
+	var text bytes.Buffer
+	text.WriteString(strings.ReplaceAll(record.Message, " ", "-"))
+	record.Attrs(func(attr slog.Attr) bool {
+		if attr.Key != "error" {
+			fmt.Fprintf(&text, " %s=%v", attr.Key, attr.Value)
+		}
+		return true
+	})
+	l.session.note(string(l.vm), text.String())
+	return nil
+}
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (*pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// handlerTransport calls a handler in place of a server. While isLost, no
+// answer arrives.
+type handlerTransport struct {
+	handler http.Handler
+	isLost  *atomic.Bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t handlerTransport) RoundTrip(request *http.Request) (answer *http.Response, err error) {
+	defer func() {
+		if recovered := recover(); recovered != nil || t.isLost.Load() {
+			answer, err = nil, trace.ConnectionProblem(nil, "the connection was cut")
+		}
+	}()
+	recorder := httptest.NewRecorder()
+	t.handler.ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
--- a/host/allow.go
+++ b/host/allow.go
@@ -187,7 +187,9 @@
 		l.mesh.Send(to, handOver)
 		l.log.Info("tokens handed over", slog.String("to", string(to)), slog.Int("accounts", len(handOver.Balances)))
 	}
-	l.log.Info("shards released", slog.Uint64("mask", uint64(back.Mask)))
+	if back.Mask != 0 {
+		l.log.Info("shards released", slog.Int("shards", back.Mask.Count()), slog.Int("holders", len(handOvers)))
+	}
 }
 
 // renew asks every VM, this one included, for the shares of the held shards.
--- a/host/control.go
+++ b/host/control.go
@@ -28,8 +28,12 @@
 	readersPerPlace = 2
 	// pollInterval is the time between two reads of a VM that does not watch.
 	pollInterval = 20 * time.Second
-	// failurePause is the pause after a failed read.
+	// failurePause is the pause after the first failed read. It doubles with
+	// every further one, up to readerPause for a VM that watches and up to
+	// pollInterval for others, so that the fleet does not flood a platform that
+	// is about to recover.
 	failurePause = 500 * time.Millisecond
+	readerPause  = 2 * time.Second
 )
 
 // controlEvent is an input of the control loop.
@@ -178,13 +182,22 @@
 
 // applyView hands a changed view to everything that depends on it.
 func (l *controlLoop) applyView(ctx context.Context, view member.View) {
-	l.view.Store(&view)
+	old := l.view.Swap(&view)
 	l.mesh.SetPeers(ctx, view.Others(l.self.VM))
 	l.isReader.Store(isReader(view, l.self.VM))
 	l.allowance.post(ctx, allowanceEvent{view: &view})
 	l.detection.post(ctx, detectionEvent{view: &view})
 	l.stepGossip(ctx, gossip.ListEvent{Known: view.Known, Listed: view.Listed, Live: reachable(view, l.self.VM)})
-	l.log.Info("view", slog.Int("listed", view.Listed), slog.Int("up", len(view.Holders())), slog.Int("serving", len(view.Serving())))
+	if shown := summarize(view); shown != summarize(*old) {
+		l.log.Info("view", slog.Int("listed", shown.listed), slog.Int("up", shown.up), slog.Int("serving", shown.serving))
+	}
+}
+
+// viewSummary is what the log shows of a view.
+type viewSummary struct{ listed, up, serving int }
+
+func summarize(view member.View) viewSummary {
+	return viewSummary{listed: view.Listed, up: len(view.Holders()), serving: len(view.Serving())}
 }
 
 func reachable(view member.View, self ferry.VMID) []ferry.VMID {
@@ -269,35 +282,62 @@
 // by slow polls.
 func (l *controlLoop) watch(ctx context.Context, name string, take func(ferry.Value)) error {
 	var version uint64
+	failures := 0
 	for ctx.Err() == nil {
+		// The role is read once, so that a change of it ends the pause.
+		isReader := l.isReader.Load()
 		after := version
-		if !l.isReader.Load() {
+		if !isReader {
 			after = 0
 		}
 		value, err := l.store.Watch(ctx, name, after)
-		pause := time.Duration(0)
-		switch {
-		case err != nil:
-			pause = failurePause
-			if !errors.Is(err, store.ErrNoValue) && ctx.Err() == nil {
-				l.log.Warn("platform not read", slog.String("name", name), slog.Any("error", err))
-			}
-		case value.Version != version:
+		if err != nil {
+			failures++
+			l.noteFailure(ctx, name, failures, err)
+			l.pause(ctx, pauseAfter(failures, isReader), isReader)
+			continue
+		}
+		if failures > 0 {
+			l.log.Info("platform read again", slog.String("name", name))
+			failures = 0
+		}
+		if value.Version != version {
 			version = value.Version
 			take(value)
 		}
-		if pause == 0 && !l.isReader.Load() {
-			pause = pollInterval
+		if !isReader {
+			l.pause(ctx, pollInterval, isReader)
 		}
-		l.pauseOrReader(ctx, pause)
 	}
 	return nil
 }
 
-// pauseOrReader waits for the given time. It returns early when the VM becomes
-// a reader during a long pause.
-func (l *controlLoop) pauseOrReader(ctx context.Context, pause time.Duration) {
-	wasReader := l.isReader.Load()
+// noteFailure logs the first of several failed reads.
+func (l *controlLoop) noteFailure(ctx context.Context, name string, failures int, err error) {
+	if failures > 1 || ctx.Err() != nil || errors.Is(err, store.ErrNoValue) {
+		return
+	}
+	l.log.Warn("platform not read", slog.String("name", name), slog.Any("error", err))
+}
+
+// pauseAfter returns the pause after a number of failed reads in a row.
+func pauseAfter(failures int, isReader bool) time.Duration {
+	longest := pollInterval
+	if isReader {
+		longest = readerPause
+	}
+	pause := failurePause
+	for range failures - 1 {
+		if pause = min(2*pause, longest); pause == longest {
+			break
+		}
+	}
+	return pause
+}
+
+// pause waits for the given time. It returns early when a VM that was not a
+// reader becomes one during a long pause.
+func (l *controlLoop) pause(ctx context.Context, pause time.Duration, wasReader bool) {
 	deadline := time.Now().Add(pause)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		if pause > failurePause && !wasReader && l.isReader.Load() {
--- /dev/null
+++ b/host/force_test.go
@@ -0,0 +1,143 @@
+package host
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/fake"
+)
+
+// Sizes and latencies of the larger workload.
+const (
+	forceVMs     = 36
+	forceRegions = 3
+	placeDelay   = time.Millisecond
+	regionDelay  = 8 * time.Millisecond
+	// forceCut is the time for which a region is cut off.
+	forceCut = 5 * time.Second
+	// forceChanges is the number of changes of one run.
+	forceChanges = 10
+)
+
+// newForceBench starts a fleet in three regions of two places.
+func newForceBench(b *testing.B) *bench {
+	fleet := newBench(b, forceVMs, 1)
+	fleet.inventory.Places = nil
+	for i := range 2 * forceRegions {
+		fleet.inventory.Places = append(fleet.inventory.Places, ferry.Place{
+			ID: ferry.PlaceID(fmt.Sprintf("p%d", i+1)), Region: ferry.RegionID(fmt.Sprintf("r%d", i%forceRegions)),
+		})
+	}
+	regions := ferry.NewRegions(fleet.inventory.Places)
+	fleet.network.Delay = func(path fake.Path) time.Duration {
+		switch regions.Distance(path.From.Place, path.To.Place) {
+		case ferry.SamePlace:
+			return 0
+		case ferry.SameRegion:
+			return placeDelay
+		default:
+			return regionDelay
+		}
+	}
+	fleet.start(forceVMs)
+	return fleet
+}
+
+// change publishes the next version and returns, for each VM, the time until
+// it was in force.
+func (b *bench) change(vms []*benchVM) []time.Duration {
+	b.inventory.Version++
+	b.publish()
+	return b.awaitForce(vms)
+}
+
+// awaitForce returns, for each VM, the time from now until the published
+// version is in force.
+func (b *bench) awaitForce(vms []*benchVM) []time.Duration {
+	start := time.Now()
+	times := make([]time.Duration, len(vms))
+	for left := len(vms); left > 0; time.Sleep(time.Millisecond) {
+		for i, v := range vms {
+			if times[i] == 0 && v.host.control.stamp.Load().Version == b.inventory.Version {
+				times[i] = time.Since(start)
+				left--
+			}
+		}
+		if time.Since(start) > patience {
+			b.t.Fatal("a change is not in force")
+		}
+	}
+	return times
+}
+
+// readersOf returns the VMs of a place that watch the platform.
+func (b *bench) readersOf(place ferry.PlaceID) []*benchVM {
+	return slices.DeleteFunc(slices.Clone(b.vms), func(v *benchVM) bool {
+		return v.settings.Place != place || !v.host.control.isReader.Load()
+	})
+}
+
+// reportTimes reports quantiles of the times to force.
+func reportTimes(b *testing.B, times []time.Duration) {
+	b.Helper()
+	slices.Sort(times)
+	at := func(quantile float64) float64 {
+		return float64(times[int(quantile*float64(len(times)-1))].Microseconds()) / 1000
+	}
+	b.ReportMetric(at(0.5), "p50-ms")
+	b.ReportMetric(at(0.99), "p99-ms")
+	b.ReportMetric(at(1), "max-ms")
+	b.ReportMetric(float64(len(times)), "times")
+}
+
+// BenchmarkForce measures the time until a change is in force on each of 36
+// VMs.
+func BenchmarkForce(b *testing.B) {
+	b.Run("all-up", func(b *testing.B) {
+		fleet := newForceBench(b)
+		var times []time.Duration
+		for range forceChanges {
+			times = append(times, fleet.change(fleet.vms)...)
+		}
+		reportTimes(b, times)
+	})
+	b.Run("readers-of-a-place-killed", func(b *testing.B) {
+		fleet := newForceBench(b)
+		readers := fleet.readersOf("p1")
+		for _, v := range readers {
+			v.cancel()
+		}
+		live := slices.DeleteFunc(slices.Clone(fleet.vms), func(v *benchVM) bool { return slices.Contains(readers, v) })
+		var times []time.Duration
+		for range forceChanges {
+			times = append(times, fleet.change(live)...)
+		}
+		reportTimes(b, times)
+	})
+	b.Run("region-cut-and-healed", func(b *testing.B) {
+		fleet := newForceBench(b)
+		var times []time.Duration
+		inside := slices.DeleteFunc(slices.Clone(fleet.vms), func(v *benchVM) bool {
+			return v.settings.Place != "p1" && v.settings.Place != "p4"
+		})
+		isInside := func(vm ferry.VM) bool { return vm.Place == "p1" || vm.Place == "p4" }
+		for range forceChanges / 2 {
+			fleet.network.SetCut(func(path fake.Path) bool { return isInside(path.From) != isInside(path.To) })
+			for _, v := range inside {
+				v.isPlatformLost.Store(true)
+			}
+			fleet.inventory.Version++
+			fleet.publish()
+			time.Sleep(forceCut)
+			fleet.network.SetCut(nil)
+			times = append(times, fleet.awaitForce(inside)...)
+			for _, v := range inside {
+				v.isPlatformLost.Store(false)
+			}
+		}
+		reportTimes(b, times)
+	})
+}
--- a/host/host.go
+++ b/host/host.go
@@ -105,22 +105,36 @@
 	return hex.EncodeToString(raw[:])
 }
 
-// Run serves until ctx ends or a planned stop is complete.
+// Listeners are the sockets on which a VM is reached.
+type Listeners struct {
+	Callers net.Listener
+	Peers   net.Listener
+	Admin   net.Listener
+}
+
+// Run listens on the addresses of the settings and serves until ctx ends or a
+// planned stop is complete.
 func (h *Host) Run(ctx context.Context) (err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var peers, callers, admins net.Listener
-	if peers, err = listen(ctx, h.settings.Peers.String()); err != nil {
+	var listeners Listeners
+	if listeners.Peers, err = listen(ctx, h.settings.Peers.String()); err != nil {
 		return err
 	}
-	if callers, err = listen(ctx, h.settings.Callers.String()); err != nil {
+	if listeners.Callers, err = listen(ctx, h.settings.Callers.String()); err != nil {
 		return err
 	}
-	if admins, err = listen(ctx, h.settings.Admin.String()); err != nil {
+	if listeners.Admin, err = listen(ctx, h.settings.Admin.String()); err != nil {
 		return err
 	}
+	return h.Serve(ctx, listeners)
+}
+
+// Serve serves on the given sockets until ctx ends or a planned stop is
+// complete. It closes the sockets.
+func (h *Host) Serve(ctx context.Context, listeners Listeners) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error { return h.mesh.Serve(groupCtx, peers) })
+	group.Go(func() error { return h.mesh.Serve(groupCtx, listeners.Peers) })
 	group.Go(func() error { return h.control.run(groupCtx) })
 	group.Go(func() error { return h.allowance.run(groupCtx) })
 	group.Go(func() error { return h.detection.run(groupCtx) })
@@ -132,14 +146,14 @@
 		return h.control.watch(groupCtx, conf.ManifestName, h.control.takeManifest(groupCtx))
 	})
 	group.Go(func() error { return h.waiting.Run(groupCtx) })
-	group.Go(func() error { return h.serveAdmin(groupCtx, admins) })
-	group.Go(func() error { return h.callers.serve(groupCtx, callers, h.callerTLS.CallerConfig()) })
+	group.Go(func() error { return h.serveAdmin(groupCtx, listeners.Admin) })
+	group.Go(func() error { return h.callers.serve(groupCtx, listeners.Callers, h.callerTLS.CallerConfig()) })
 	group.Go(func() error {
 		// The end of a planned stop ends everything else.
 		defer cancel()
 		return h.awaitDrain(groupCtx)
 	})
-	h.log.Info("serving", slog.String("callers", callers.Addr().String()), slog.String("peers", peers.Addr().String()))
+	h.log.Info("serving", slog.String("callers", listeners.Callers.Addr().String()), slog.String("peers", listeners.Peers.Addr().String()))
 	return group.Wait()
 }
 
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -123,7 +123,7 @@
 	b.t.Helper()
 	for i := range count {
 		b.vms = append(b.vms, &benchVM{settings: conf.Settings{
-			ID: ferry.VMID(fmt.Sprintf("vm-%d", i)), Place: ferry.PlaceID(fmt.Sprintf("p%d", i%2+1)),
+			ID: ferry.VMID(fmt.Sprintf("vm-%d", i)), Place: b.inventory.Places[i%len(b.inventory.Places)].ID,
 			Callers: freePort(b.t), Peers: freePort(b.t), Admin: freePort(b.t),
 			Platform:    []netip.AddrPort{netip.MustParseAddrPort(b.server.Listener.Addr().String())},
 			OperatorKey: ferry.HashKey("operator"), PlainText: true, PeerTLS: b.peerTLS,
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -35,6 +35,7 @@
 package limit
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -87,6 +88,9 @@
 // Has reports whether the mask contains the shard.
 func (m Mask) Has(shard int) bool { return m&(1<<shard) != 0 }
 
+// Count returns the number of shards in the mask.
+func (m Mask) Count() int { return bits.OnesCount64(uint64(m)) }
+
 // With returns the mask with the shard added.
 func (m Mask) With(shard int) Mask { return m | 1<<shard }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -7,10 +7,10 @@
 	"errors"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sync/errgroup"
@@ -30,6 +30,7 @@
 
 // run keeps a session open until ctx ends.
 func (l *link) run(ctx context.Context) {
+	jitter := l.jitter()
 	wait := redialMin
 	for ctx.Err() == nil {
 		started := time.Now()
@@ -40,13 +41,20 @@
 			wait = redialMin
 		}
 		select {
-		case <-time.After(wait + rand.N(redialMin)):
+		case <-time.After(wait + jitter):
 		case <-ctx.Done():
 		}
 		wait = min(2*wait, redialMax)
 	}
 }
 
+// jitter keeps the VMs from dialing a returning VM at the same moment. Each
+// pair of VMs has its own.
+func (l *link) jitter() time.Duration {
+	pair := xxhash.Sum64String(string(l.mesh.self.VM) + "|" + string(l.vm.ID))
+	return time.Duration(pair % uint64(redialMin))
+}
+
 // session dials the VM and sends until something fails.
 func (l *link) session(ctx context.Context) (err error) {
 	var conn net.Conn
--- a/store/client.go
+++ b/store/client.go
@@ -65,9 +65,15 @@
 
 // NewClient returns a reader of the platform at the given addresses.
 func NewClient(addresses []netip.AddrPort) *Client {
+	return NewClientOver(addresses, http.DefaultTransport)
+}
+
+// NewClientOver returns a reader of the platform whose calls go over the given
+// transport.
+func NewClientOver(addresses []netip.AddrPort, transport http.RoundTripper) *Client {
 	return &Client{
 		addresses: addresses,
-		http:      &http.Client{},
+		http:      &http.Client{Transport: transport},
 		budget:    rate.NewLimiter(callsPerSecond, callBurst),
 	}
 }
