member: let a VM that returns be confirmed within a round trip

Each side waited up to a second for the other's next heartbeat, the others' links paused up to 2 s before they dialed it, and that it was ready went out with the next heartbeat. Ruled out: more frequent heartbeats, which cost every VM control at all times. Change: a heartbeat of a VM that is not up is answered at once, at most every 100 ms; a VM tells at once that it is ready; the hello of a session ends the pause of the link in the other direction. Who waits for a lost holder still waits for the lease.

--- a/host/host_test.go
+++ b/host/host_test.go
@@ -232,14 +232,12 @@
 // awaitAllowance waits until every VM admits requests.
 func (b *bench) awaitAllowance() {
 	b.t.Helper()
-	b.await("every VM admits requests", func() bool {
-		for _, v := range b.vms {
-			if status, _ := v.call(http.MethodGet, "/advice/x", key("one")); status != http.StatusOK {
-				return false
-			}
-		}
-		return true
-	})
+	for _, v := range b.vms {
+		b.await("VM "+string(v.settings.ID)+" admits requests", func() bool {
+			status, _ := v.call(http.MethodGet, "/advice/x", key("one"))
+			return status == http.StatusOK
+		})
+	}
 }
 
 func (b *bench) seeds() []netip.AddrPort {
--- a/member/controller.go
+++ b/member/controller.go
@@ -14,6 +14,9 @@
 	BeatInterval = time.Second
 	// SuspectAfter is the silence after which a VM counts as down.
 	SuspectAfter = 2500 * time.Millisecond
+	// replyInterval is the shortest time between two heartbeats to one VM that
+	// answer it while it is not up.
+	replyInterval = 100 * time.Millisecond
 	// forgetAfter is the silence after which an unlisted VM is forgotten.
 	forgetAfter = 30 * time.Second
 )
@@ -151,6 +154,9 @@
 	records map[ferry.VMID]*record
 	order   []ferry.VMID
 	view    View
+	// isNews reports that the others must not wait for the next heartbeat to
+	// learn of a change of this VM.
+	isNews bool
 	// isListKnown reports that the platform's list has been read.
 	isListKnown bool
 }
@@ -163,8 +169,12 @@
 	}
 }
 
-// SetReady says whether this VM serves requests.
-func (c *Controller) SetReady(ready bool) { c.self.Ready = ready }
+// SetReady says whether this VM serves requests. The others are told with the
+// next step.
+func (c *Controller) SetReady(ready bool) {
+	c.isNews = c.isNews || c.self.Ready != ready
+	c.self.Ready = ready
+}
 
 // View returns the last published view.
 func (c *Controller) View() View { return c.view }
@@ -177,13 +187,9 @@
 	case HelloEvent:
 		c.onHello(now, event)
 	case BeatEvent:
-		c.onBeat(now, event)
+		actions = c.onBeat(now, event)
 	case LeaveEvent:
-		c.self.Leaving = true
-		// The others must not wait for the next heartbeat to learn of it.
-		for _, r := range c.records {
-			r.beatAt = now.Add(-BeatInterval)
-		}
+		c.self.Leaving, c.isNews = true, true
 		actions = c.beats(now)
 	case TickEvent:
 		actions = c.beats(now)
@@ -237,11 +243,14 @@
 	r.heard, r.isHeard = now, true
 }
 
-func (c *Controller) onBeat(now ferry.Moment, event BeatEvent) {
+// onBeat counts a heartbeat. One of a VM that is not up is answered at once,
+// so that both sides confirm each other within a round trip.
+func (c *Controller) onBeat(now ferry.Moment, event BeatEvent) []Action {
 	r := c.records[event.From]
 	if r == nil || r.member.Incarnation != event.Incarnation || event.Sequence <= r.received {
-		return
+		return nil
 	}
+	wasUp := isUp(now, r)
 	r.received = event.Sequence
 	r.heard, r.isHeard = now, true
 	r.member.Ready, r.member.Leaving = event.Ready, event.Leaving
@@ -249,6 +258,10 @@
 		r.echoed = event.Echo
 		r.hears, r.isConfirmed = now, true
 	}
+	if wasUp || (r.sent > 0 && now.Since(r.beatAt) < replyInterval) {
+		return nil
+	}
+	return []Action{r.beat(now, event.From)}
 }
 
 // beats returns the heartbeats that are due and forgets VMs that are gone.
@@ -260,16 +273,22 @@
 			c.order = slices.DeleteFunc(c.order, func(other ferry.VMID) bool { return other == id })
 			continue
 		}
-		if r.sent > 0 && now.Since(r.beatAt) < BeatInterval {
+		if !c.isNews && r.sent > 0 && now.Since(r.beatAt) < BeatInterval {
 			continue
 		}
-		r.sent++
-		r.beatAt = now
-		actions = append(actions, BeatAction{To: id, Sequence: r.sent, Echo: r.received, EchoIncarnation: r.member.Incarnation})
+		actions = append(actions, r.beat(now, id))
 	}
+	c.isNews = false
 	return actions
 }
 
+// beat returns the next heartbeat to the VM of the record.
+func (r *record) beat(now ferry.Moment, to ferry.VMID) BeatAction {
+	r.sent++
+	r.beatAt = now
+	return BeatAction{To: to, Sequence: r.sent, Echo: r.received, EchoIncarnation: r.member.Incarnation}
+}
+
 func isUp(now ferry.Moment, r *record) bool {
 	return r.isHeard && now.Since(r.heard) < SuspectAfter && r.isConfirmed && now.Since(r.hears) < SuspectAfter
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -26,6 +26,8 @@
 	cancel context.CancelFunc
 	small  chan Message
 	values chan Message
+	// heard tells that the VM has opened a session, so that it can be dialed.
+	heard chan struct{}
 }
 
 // run keeps a session open until ctx ends.
@@ -42,6 +44,7 @@
 		}
 		select {
 		case <-time.After(wait + jitter):
+		case <-l.heard:
 		case <-ctx.Done():
 		}
 		wait = min(2*wait, redialMax)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -119,6 +119,7 @@
 			mesh: m, vm: vm, cancel: cancel,
 			small:  make(chan Message, smallQueue),
 			values: make(chan Message, valueQueue),
+			heard:  make(chan struct{}, 1),
 		}
 		m.links[vm.ID] = l
 		go l.run(linkCtx)
@@ -153,6 +154,18 @@
 	}
 }
 
+// wake ends the pause of the link to a VM before its next dial.
+func (m *Mesh) wake(id ferry.VMID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l := m.links[id]; l != nil {
+		select {
+		case l.heard <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // Serve accepts sessions from other VMs until ctx ends.
 func (m *Mesh) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -203,12 +216,13 @@
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
 	failed := make(chan error, maxStreams)
+	var greeting sync.Once
 	for range maxStreams {
 		var stream *yamux.Stream
 		if stream, err = session.AcceptStreamWithContext(ctx); err != nil {
 			break
 		}
-		go func() { failed <- m.serveStream(ctx, stream) }()
+		go func() { failed <- m.serveStream(ctx, stream, &greeting) }()
 		if session.NumStreams() >= maxStreams {
 			break
 		}
@@ -219,8 +233,9 @@
 	return <-failed
 }
 
-// serveStream reads frames until the stream ends or breaks the protocol.
-func (m *Mesh) serveStream(ctx context.Context, stream *yamux.Stream) (err error) {
+// serveStream reads frames until the stream ends or breaks the protocol. The
+// first hello of a session wakes the link to its sender.
+func (m *Mesh) serveStream(ctx context.Context, stream *yamux.Stream, greeting *sync.Once) (err error) {
 	defer func() { _ = stream.Session().Close() }()
 	if err = stream.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return trace.Wrap(err)
@@ -242,6 +257,7 @@
 			return trace.BadParameter("the first frame is %s instead of a hello", describe(message))
 		case from == (limit.Process{}):
 			from = limit.Process{VM: hello.VM.ID, Incarnation: hello.Incarnation}
+			greeting.Do(func() { m.wake(from.VM) })
 			if err = stream.SetReadDeadline(time.Time{}); err != nil {
 				return trace.Wrap(err)
 			}
