--- a/demo/demo.go
+++ b/demo/demo.go
@@ -55,6 +55,9 @@
 	// ForceSeconds is the time until the changed configuration was in force on
 	// every live VM.
 	ForceSeconds float64
+	// StopCut is the number of requests that the planned stop left without a
+	// whole answer from the first VM they were sent to.
+	StopCut      int
 	AddedP50Ms   float64
 	AddedP99Ms   float64
 	LatencyP50Ms float64
@@ -68,18 +71,24 @@
 
 // Times of a run.
 const (
-	readyTimeout  = 30 * time.Second
-	trafficTime   = 26 * time.Second
-	grayAt        = 3 * time.Second
-	killAt        = 8 * time.Second
-	replaceAt     = 10 * time.Second
-	withdrawAt    = 12 * time.Second
-	platformAt    = 16 * time.Second
-	freezeAt      = 18 * time.Second
-	wakeAt        = 22 * time.Second
+	readyTimeout = 30 * time.Second
+	trafficTime  = 30 * time.Second
+	stopAt       = 500 * time.Millisecond
+	grayAt       = 3 * time.Second
+	restartBy    = 12 * time.Second
+	killAt       = 13 * time.Second
+	replaceAt    = 15 * time.Second
+	withdrawAt   = 17 * time.Second
+	platformAt   = 21 * time.Second
+	freezeAt     = 22 * time.Second
+	wakeAt       = 26 * time.Second
+	// requestMargin is longer than a request takes.
+	requestMargin = time.Second
 	pollInterval  = 50 * time.Millisecond
 	changeTimeout = 7 * time.Second
-	warmUpTime    = 4 * time.Second
+	// detectionTimeout is the time after which a gray target counts as missed.
+	detectionTimeout = 5 * time.Second
+	warmUpTime       = 4 * time.Second
 )
 
 // Run carries out a run. It returns an error when the fleet could not be run;
@@ -123,6 +132,14 @@
 func (f *fleet) bringAboutFailures(ctx context.Context, result *Result) (err error) {
 	start := time.Now()
 	at := func(d time.Duration) error { return sleep(ctx, d-time.Since(start)) }
+	if err = at(stopAt); err != nil {
+		return err
+	}
+	stopped := f.vms[stoppedVM]
+	f.say("%v: VM %s is stopped as planned", stopAt, stopped.id)
+	if err = stopped.stop(); err != nil {
+		return err
+	}
 	if err = at(grayAt); err != nil {
 		return err
 	}
@@ -131,10 +148,17 @@
 	if err = f.post(ctx, gray.address, "/control/fault", `{"ErrorShare": 0.2}`); err != nil {
 		return err
 	}
-	if result.DetectionSeconds, err = f.await(ctx, func() bool { return f.stageOf(ctx, gray.id) == "Ejected" }, killAt-grayAt); err != nil {
+	if result.DetectionSeconds, err = f.await(ctx, func() bool { return f.stageOf(ctx, gray.id) == "Ejected" }, detectionTimeout); err != nil {
 		f.say("the target was not ejected in time")
 		result.Broken = append(result.Broken, "gray target not ejected")
 	}
+	if _, err = f.await(ctx, stopped.hasEnded, restartBy-time.Since(start)); err != nil {
+		return trace.Wrap(err, "VM %s did not stop", stopped.id)
+	}
+	f.say("VM %s has ended by itself and is started again", stopped.id)
+	if err = f.launchVM(stopped); err != nil {
+		return err
+	}
 	if err = at(killAt); err != nil {
 		return err
 	}
@@ -210,6 +234,10 @@
 	result.LatencyP50Ms = float64(report.Latency.ValueAtQuantile(50)) / 1000
 	result.LatencyP99Ms = float64(report.Latency.ValueAtQuantile(99)) / 1000
 	result.FalseEjections = f.falseEjections(ctx)
+	result.StopCut = f.stopCut(report)
+	if result.StopCut > 0 {
+		result.Broken = append(result.Broken, "a planned stop cut requests")
+	}
 	ideal := 0
 	result.WorstSuccess = 1
 	for _, account := range result.Accounts {
@@ -228,6 +256,18 @@
 	return nil
 }
 
+// stopCut counts the requests that got no whole answer from the first VM they
+// were sent to, as long as the planned stop is the only event among the VMs.
+func (f *fleet) stopCut(report *load.Report) int {
+	count := 0
+	for _, r := range report.Results {
+		if r.At < killAt-requestMargin && (r.Addresses > 1 || r.Status == 0 || !r.Whole) {
+			count++
+		}
+	}
+	return count
+}
+
 // crashed names the VMs that ended by themselves.
 func (f *fleet) crashed() []string {
 	var names []string
@@ -361,6 +401,7 @@
 		{"requests over allowance", fmt.Sprint(r.Promises.Over)},
 		{"doubled runs", fmt.Sprint(r.Promises.Doubled)},
 		{"untrue refusals", fmt.Sprint(r.Promises.Untrue)},
+		{"requests cut by a planned stop", fmt.Sprint(r.StopCut)},
 		{"cut answers", fmt.Sprint(r.Promises.Cut)},
 		{"keys seen by targets", fmt.Sprint(r.Promises.Keys)},
 		{"runs for another client account", fmt.Sprint(r.Promises.Misplaced)},
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -36,6 +37,8 @@
 	withdrawnAccount = "clinic-4"
 	// frozenVM is the position of the VM that is frozen for a while.
 	frozenVM = 1
+	// stoppedVM is the position of the VM that is stopped as planned.
+	stoppedVM = 3
 	// pairAccount has an allowance that a pair does not use up.
 	pairAccount = "pair"
 )
@@ -66,6 +69,11 @@
 	}
 }
 
+// stop starts the planned stop of the process.
+func (p *process) stop() error {
+	return trace.ConvertSystemError(p.command.Process.Signal(syscall.SIGTERM))
+}
+
 func (p *process) isKilled() bool { return p.killed.Load() }
 
 // vm is a process of the fleet.
--- a/host/cut_test.go
+++ b/host/cut_test.go
@@ -132,3 +132,52 @@
 		return true
 	})
 }
+
+// TestReadersKilled kills the VMs of a place that watch the platform. The one
+// that is left takes the next change into use.
+func TestReadersKilled(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 6, 1)
+	b.start(6)
+	readers := b.readersOf("p1")
+	is.Equal(len(readers), readersPerPlace)
+	for _, v := range readers {
+		v.cancel()
+	}
+	b.inventory.Version = 2
+	b.publish()
+	b.await("version 2 is in force on the other VMs", func() bool {
+		for _, v := range b.vms {
+			if !slices.Contains(readers, v) && !hasVersion("2", v) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestKeyWithdrawnDuringOutage withdraws a key while only one VM still reaches
+// the platform. The key stops working everywhere.
+func TestKeyWithdrawnDuringOutage(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3, 1)
+	b.start(3)
+	b.awaitAllowance()
+	for _, v := range b.vms[1:] {
+		v.isPlatformLost.Store(true)
+	}
+	b.inventory.Version, b.inventory.Accounts = 2, b.inventory.Accounts[1:]
+	b.publish()
+	b.await("version 2 is in force on one VM", func() bool { return hasVersion("2", b.vms[0]) })
+	b.platform.SetMode(fake.ModeDown)
+	for _, v := range b.vms {
+		b.await("the key is refused", func() bool {
+			status, outcome := v.call(http.MethodGet, "/advice/x", key("one"))
+			return status == http.StatusUnauthorized && outcome == ferry.OutcomeNotRun.String()
+		})
+	}
+	for _, v := range b.vms {
+		status, _ := v.call(http.MethodGet, "/advice/x", key("one"))
+		is.Equal(status, http.StatusUnauthorized) // it stays withdrawn
+	}
+}
