--- a/host/control.go
+++ b/host/control.go
@@ -29,11 +29,12 @@
 	// pollInterval is the time between two reads of a VM that does not watch.
 	pollInterval = 20 * time.Second
 	// failurePause is the pause after the first failed read. It doubles with
-	// every further one, up to readerPause for a VM that watches and up to
-	// pollInterval for others, so that the fleet does not flood a platform that
-	// is about to recover.
+	// every further one, so that the fleet does not flood a platform that is
+	// about to recover.
 	failurePause = 500 * time.Millisecond
-	readerPause  = 2 * time.Second
+	// readerPause is the longest pause of a VM that watches. That of the others
+	// is pollInterval.
+	readerPause = 2 * time.Second
 )
 
 // controlEvent is an input of the control loop.
@@ -329,12 +330,10 @@
 		longest = readerPause
 	}
 	pause := failurePause
-	for range failures - 1 {
-		if pause = min(2*pause, longest); pause == longest {
-			break
-		}
+	for ; failures > 1 && pause < longest; failures-- {
+		pause *= 2
 	}
-	return pause
+	return min(pause, longest)
 }
 
 // pause waits for the given time. It returns early when a VM that was not a
