fake: publish an inventory in one place

Cause: the golden sessions wrote again what the tests of host already had: split the inventory, write parts, list and manifest. Change: Platform.PublishInventory serves both; the manifest comes last, as in the tests of host. The race run was not repeated. Conclusion: behavior is unchanged.

--- a/fake/platform.go
+++ b/fake/platform.go
@@ -25,6 +25,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/conf"
 )
 
 // Mode is the way in which the platform works or fails.
@@ -76,6 +79,30 @@
 	p.wake()
 }
 
+// PublishInventory sets the values of an inventory and the list of VMs. The
+// manifest comes last, as operators publish it. It returns an error when the
+// inventory cannot be written.
+func (p *Platform) PublishInventory(inventory *ferry.Inventory, list ferry.VMList) (err error) {
+	var manifest conf.Manifest
+	var parts map[string][]byte
+	if manifest, parts, err = conf.Split(inventory); err != nil {
+		return err
+	}
+	var listText, manifestText []byte
+	if listText, err = conf.FormatVMList(list); err != nil {
+		return err
+	}
+	if manifestText, err = conf.FormatManifest(manifest); err != nil {
+		return err
+	}
+	for name, body := range parts {
+		p.Publish(name, body)
+	}
+	p.Publish(conf.VMListName, listText)
+	p.Publish(conf.ManifestName, manifestText)
+	return nil
+}
+
 // SetMode changes the way in which the platform works.
 func (p *Platform) SetMode(mode Mode) {
 	p.mu.Lock()
--- a/golden/session_test.go
+++ b/golden/session_test.go
@@ -204,26 +204,13 @@
 	if isBad {
 		inventory.Accounts[0].Rate = -1
 	}
-	manifest, parts, err := conf.Split(inventory)
-	if err != nil {
-		s.t.Fatal(err)
-	}
 	list := ferry.VMList{Version: version}
 	for i := range sessionVMs - 1 {
 		list.VMs = append(list.VMs, s.vms[ferry.VMID("vm-"+strconv.Itoa(i))].vm)
 	}
-	parts[conf.VMListName], err = conf.FormatVMList(list)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	for name, body := range parts {
-		s.platform.Publish(name, body)
-	}
-	text, err := conf.FormatManifest(manifest)
-	if err != nil {
+	if err := s.platform.PublishInventory(inventory, list); err != nil {
 		s.t.Fatal(err)
 	}
-	s.platform.Publish(conf.ManifestName, text)
 }
 
 // launch starts the process of a VM.
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -181,26 +181,13 @@
 // publish writes the inventory and the list of VMs to the platform.
 func (b *bench) publish() {
 	b.t.Helper()
-	manifest, parts, err := conf.Split(b.inventory)
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	for name, body := range parts {
-		b.platform.Publish(name, body)
-	}
 	list := ferry.VMList{Version: b.inventory.Version}
 	for _, v := range b.vms {
 		list.VMs = append(list.VMs, v.listed())
 	}
-	text, err := conf.FormatVMList(list)
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	b.platform.Publish(conf.VMListName, text)
-	if text, err = conf.FormatManifest(manifest); err != nil {
+	if err := b.platform.PublishInventory(b.inventory, list); err != nil {
 		b.t.Fatal(err)
 	}
-	b.platform.Publish(conf.ManifestName, text)
 }
 
 func (b *bench) await(what string, condition func() bool) {
