--- a/conf/node.go
+++ b/conf/node.go
@@ -30,8 +30,8 @@
 	Store netip.AddrPort
 	// MemoryLimit is the memory of the VM in bytes, or zero.
 	MemoryLimit int64
-	// Descriptors is the most open files and sockets, or zero.
-	Descriptors int
+	// Power is the processor of the VM in thousandths of a core, or zero.
+	Power uint32
 	// IsFirst reports that the whole fleet starts for the first time.
 	IsFirst bool
 	Bounds  Bounds
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -27,6 +27,11 @@
 	// Waiting is the number of requests that wait, Ahead that of tokens to keep.
 	Waiting int
 	Ahead   int
+	// Spent is the number of tokens given ahead that were spent since the last
+	// ask, and have not ended.
+	Spent int
+	// Hops is the number of VMs that passed the ask on.
+	Hops int
 }
 
 // Answer answers an Ask.
@@ -40,6 +45,8 @@
 	RetryAfter time.Duration
 	// Unknown reports that the holder has no share of the allowance.
 	Unknown bool
+	// Hops is that of the ask.
+	Hops int
 }
 
 // bucket is the allowance of one account.
@@ -65,7 +72,7 @@
 // Answer decides on an ask. share is the part of the allowance that this
 // holder has, from 0 to 1.
 func (h *Holder) Answer(now time.Duration, ask Ask, account *ferry.Account, share float64) Answer {
-	answer := Answer{Sequence: ask.Sequence, Account: ask.Account}
+	answer := Answer{Sequence: ask.Sequence, Account: ask.Account, Hops: ask.Hops}
 	if account == nil || account.Rate <= 0 {
 		answer.Count = ask.Waiting + ask.Ahead
 		return answer
@@ -78,7 +85,10 @@
 	rate, most := account.Rate*share, max(1, account.Burst*share)
 	// Tokens promised early count inside the burst, so no window holds more.
 	early := min(rate*maxDelay.Seconds(), most/2)
+	// What has accrued so far was capped by the tokens that were out.
 	b.refill(now, rate, most-early)
+	b.age(now)
+	b.spend(ask.Spent)
 	answer.Count = min(ask.Waiting, int(b.tokens+early))
 	answer.Count = max(0, answer.Count)
 	b.tokens -= float64(answer.Count)
@@ -109,9 +119,8 @@
 	return b
 }
 
-// refill adds what accrued. Tokens given ahead count inside the cap until they
-// have ended.
-func (b *bucket) refill(now time.Duration, rate, most float64) {
+// age forgets tokens given ahead that have ended.
+func (b *bucket) age(now time.Duration) {
 	if now-b.aheadAt >= TokenLife {
 		b.aheadBefore, b.ahead = b.ahead, 0
 		if now-b.aheadAt >= 2*TokenLife {
@@ -119,6 +128,20 @@
 		}
 		b.aheadAt = now
 	}
+}
+
+// spend takes note of tokens given ahead that were spent.
+func (b *bucket) spend(count int) {
+	b.aheadBefore -= float64(count)
+	if b.aheadBefore < 0 {
+		b.ahead = max(0, b.ahead+b.aheadBefore)
+		b.aheadBefore = 0
+	}
+}
+
+// refill adds what accrued. Tokens given ahead count inside the cap until they
+// were spent or have ended.
+func (b *bucket) refill(now time.Duration, rate, most float64) {
 	b.tokens += rate * (now - b.at).Seconds()
 	b.tokens = min(b.tokens, most-b.ahead-b.aheadBefore)
 	b.at = now
--- a/grant/purse.go
+++ b/grant/purse.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"math"
 	"time"
 
 	"monsoonferry.org/ferry"
@@ -12,8 +13,12 @@
 	askTimeout = 150 * time.Millisecond
 	// unknownPause is the pause after an answer of a holder without a share.
 	unknownPause = 100 * time.Millisecond
-	// aheadWanted is the number of tokens kept for an account in use.
+	// aheadWanted is the least number of tokens kept for an account in use, and
+	// aheadFor the time whose use is kept: some round trips between regions.
 	aheadWanted = 2
+	aheadFor    = 250 * time.Millisecond
+	// paceDecay is the time in which past use loses weight by the factor e.
+	paceDecay = time.Second
 	// useFor is how long an account counts as in use.
 	useFor = 2 * time.Second
 )
@@ -46,19 +51,25 @@
 type Purse struct {
 	Account ferry.AccountID
 	// ends are the ends of the tokens, oldest first.
-	ends     []time.Duration
-	tickets  []*Ticket
-	open     []openAsk
+	ends    []time.Duration
+	tickets []*Ticket
+	open    []openAsk
+	// spent are the ends of kept tokens that were spent since the last ask.
+	spent    []time.Duration
 	usedAt   time.Duration
 	used     bool
 	notUntil time.Duration
+	// pace is the use of late in tokens a second.
+	pace float64
 }
 
 // Take takes a token, or returns a Ticket to wait with.
 func (p *Purse) Take(now time.Duration) *Ticket {
+	p.pace = p.paceAt(now) + 1/paceDecay.Seconds()
 	p.usedAt, p.used = now, true
 	p.drop(now)
 	if len(p.tickets) == 0 && len(p.ends) > 0 {
+		p.spent = append(p.spent, p.ends[0])
 		p.ends = p.ends[1:]
 		return nil
 	}
@@ -67,11 +78,23 @@
 	return ticket
 }
 
+// paceAt returns the use of late in tokens a second.
+func (p *Purse) paceAt(now time.Duration) float64 {
+	return p.pace * math.Exp(-(now-p.usedAt).Seconds()/paceDecay.Seconds())
+}
+
 // drop removes tokens that have ended.
 func (p *Purse) drop(now time.Duration) {
-	for len(p.ends) > 0 && p.ends[0] <= now {
-		p.ends = p.ends[1:]
+	p.ends = after(p.ends, now)
+	p.spent = after(p.spent, now)
+}
+
+// after returns the ends that are later than now.
+func after(ends []time.Duration, now time.Duration) []time.Duration {
+	for len(ends) > 0 && ends[0] <= now {
+		ends = ends[1:]
 	}
+	return ends
 }
 
 // Due returns the ask that has to be sent at now, if any.
@@ -84,18 +107,21 @@
 			waiting++
 		}
 	}
-	ahead := 0
-	if p.used && now-p.usedAt < useFor && len(p.open) == 0 && len(p.ends) < aheadWanted {
-		ahead = aheadWanted - len(p.ends)
+	ahead, wanted := 0, max(aheadWanted, int(p.paceAt(now)*aheadFor.Seconds()))
+	if p.used && now-p.usedAt < useFor && len(p.open) == 0 && len(p.ends) < wanted {
+		ahead = wanted - len(p.ends)
 	}
-	if now < p.notUntil || waiting == 0 && (ahead < aheadWanted || now-p.usedAt > askTimeout) {
+	isLow := 2*ahead > wanted
+	if now < p.notUntil || waiting == 0 && (!isLow || now-p.usedAt > askTimeout) {
 		return Ask{}, false
 	}
 	for _, ticket := range p.tickets {
 		ticket.asked = true
 	}
 	p.open = append(p.open, openAsk{sequence: sequence, sent: now, waiting: waiting})
-	return Ask{Sequence: sequence, Account: p.Account, Waiting: waiting, Ahead: ahead}, true
+	spent := len(p.spent)
+	p.spent = nil
+	return Ask{Sequence: sequence, Account: p.Account, Waiting: waiting, Ahead: ahead, Spent: spent}, true
 }
 
 // expireAsks gives asks up that were not answered, so that their tickets are
--- a/lead/codec.go
+++ b/lead/codec.go
@@ -23,6 +23,8 @@
 	maxDictionary = 32 << 10
 	// logOddsScale is the resolution of log odds in messages.
 	logOddsScale = 100
+	// lentScale is the resolution of lent shares. They are rounded down.
+	lentScale = 1e9
 )
 
 // exampleRecord is the general dictionary of packed records.
@@ -36,7 +38,8 @@
 		Revision: exchange.Revision, ConfigRevision: exchange.ConfigRevision,
 		After: exchange.After, Delta: exchange.Delta, DeltaConfig: exchange.DeltaConfig, Bulk: exchange.Bulk,
 		ListVersion: exchange.List.Version, ListAfter: exchange.List.After,
-		FleetSize: uint32(exchange.FleetSize), Lends: exchange.Lends, IsSettled: exchange.IsSettled,
+		ListHas: exchange.ListHas, FleetSize: uint32(exchange.FleetSize), IsSettled: exchange.IsSettled,
+		Lent: uint32(exchange.Lent * lentScale), LendTerm: uint32(exchange.LendTerm.Milliseconds()), Returns: exchange.Returns,
 		Reads: exchange.Reads, Reader: encodeAddress(exchange.Reader),
 		HasEvidence: exchange.HasEvidence, EvidenceVersion: exchange.EvidenceVersion,
 	}
@@ -67,8 +70,9 @@
 		Sequence: message.GetSequence(), Echo: message.GetEcho(), Incarnation: message.GetIncarnation(), Beat: message.GetBeat(),
 		Revision: message.GetRevision(), ConfigRevision: message.GetConfigRevision(),
 		After: message.GetAfter(), Delta: message.GetDelta(), DeltaConfig: message.GetDeltaConfig(), Bulk: message.GetBulk(),
-		List:      ListChange{Version: message.GetListVersion(), After: message.GetListAfter()},
-		FleetSize: int(message.GetFleetSize()), Lends: message.GetLends(), IsSettled: message.GetIsSettled(), Reads: message.GetReads(),
+		List:    ListChange{Version: message.GetListVersion(), After: message.GetListAfter()},
+		ListHas: message.GetListHas(), FleetSize: int(message.GetFleetSize()), IsSettled: message.GetIsSettled(), Reads: message.GetReads(),
+		Lent: float64(message.GetLent()) / lentScale, LendTerm: time.Duration(message.GetLendTerm()) * time.Millisecond, Returns: message.GetReturns(),
 		HasEvidence: message.GetHasEvidence(), EvidenceVersion: message.GetEvidenceVersion(),
 	}
 	if message.GetSelf() != nil {
@@ -109,7 +113,7 @@
 func encodeVM(vm VM) *leadpb.VM {
 	return &leadpb.VM{
 		Peers: encodeAddress(vm.Peers), Incarnation: vm.Incarnation, Place: string(vm.Place), Callers: encodeAddress(vm.Callers),
-		ControlPort: uint32(vm.ControlPort), Ready: vm.Ready, Leaving: vm.Leaving, Edition: vm.Edition,
+		ControlPort: uint32(vm.ControlPort), Ready: vm.Ready, Leaving: vm.Leaving, Edition: vm.Edition, Power: vm.Power,
 	}
 }
 
@@ -128,6 +132,7 @@
 	return VM{
 		Peers: peers, Incarnation: message.GetIncarnation(), Place: ferry.PlaceID(message.GetPlace()), Callers: callers,
 		ControlPort: uint16(message.GetControlPort()), Ready: message.GetReady(), Leaving: message.GetLeaving(), Edition: message.GetEdition(),
+		Power: message.GetPower(),
 	}, nil
 }
 
--- a/lead/controller.go
+++ b/lead/controller.go
@@ -11,8 +11,11 @@
 	// leadCount is the number of leads of a VM. The second keeps everything but
 	// the allowance going when the first is lost.
 	leadCount = 2
-	// firstBeat and secondBeat are the gaps between beats to the leads.
+	// firstBeat and secondBeat are the gaps between beats to the leads, and
+	// upperBeat is that between the lead of a place and the first lead of the
+	// fleet: proofs of freshness pass through both.
 	firstBeat  = 500 * time.Millisecond
+	upperBeat  = 300 * time.Millisecond
 	secondBeat = time.Second
 	// urgentGap is the least gap between beats to one lead with evidence, and
 	// between pushes of evidence, in fleets of up to urgentFleet VMs. It grows
@@ -21,7 +24,7 @@
 	urgentFleet = 36
 	// replyGap is the time after a pulse within which a beat with nothing to
 	// answer gets none.
-	replyGap = 300 * time.Millisecond
+	replyGap = 200 * time.Millisecond
 	// seedBeat is the gap between beats to seeds outside the view.
 	seedBeat = 2 * time.Second
 	// joinBeat is the gap between beats while no other VM is known.
@@ -49,8 +52,12 @@
 	// remember a larger fleet.
 	unknownFleet = 32
 	settleAfter  = peakKept
-	// LendTerm is the time for which a beat lends the sender's share.
-	LendTerm = 1500 * time.Millisecond
+	// LendTerm is the time for which a beat lends the sender's share to the lead
+	// of its place. It holds a relendTerm, two beats and a lost one.
+	LendTerm = 3 * time.Second
+	// relendTerm is the time for which the lead of a place lends to the first
+	// lead of the fleet: three beats and a round trip.
+	relendTerm = 1200 * time.Millisecond
 	// maxDelta is the largest delta in a datagram, in bytes.
 	maxDelta = 1100
 	// evidenceSent is the least pooled log odds that pulses carry.
@@ -87,10 +94,17 @@
 	hasProof bool
 	read     reading
 
-	links     map[netip.AddrPort]*link
-	known     map[netip.AddrPort]time.Duration
-	leads     []netip.AddrPort
-	roster    roster
+	links map[netip.AddrPort]*link
+	known map[netip.AddrPort]time.Duration
+	leads []netip.AddrPort
+	// leadsPlace reports that this VM leads its place, since leadsPlaceAt.
+	leadsPlace   bool
+	leadsPlaceAt time.Duration
+	// viewRoster and members list the view and the VMs that this one leads.
+	viewRoster roster
+	members    roster
+	// isDirty reports that the view has to be made anew.
+	isDirty   bool
 	firstSeen map[netip.AddrPort]sighting
 	view      []VM
 	sequence  uint64
@@ -99,8 +113,7 @@
 	peaks     peaks
 	copying   time.Duration
 
-	lentTo    netip.AddrPort
-	lentUntil ferry.Moment
+	lent loan
 
 	// hasHeard reports that another VM was heard since the start.
 	hasHeard bool
@@ -129,7 +142,7 @@
 		firstSeen: map[netip.AddrPort]sighting{}, pushDue: map[ferry.RegionID]bool{}, isSettled: options.IsFirst,
 	}
 	c.setSeeds(seeds)
-	c.view = []VM{c.self}
+	c.view, c.isDirty = []VM{c.self}, true
 	return c
 }
 
@@ -148,6 +161,7 @@
 	c.actions = nil
 	switch event := event.(type) {
 	case Tick:
+		c.isDirty = true
 	case Received:
 		c.receive(now, event.From, event.Exchange)
 	case ReadEnded:
@@ -156,13 +170,11 @@
 		c.copying = 0
 		c.merge(now, event.Update)
 	case Observed:
-		c.observe(event.Evidence)
+		c.observe(now, event.Evidence)
 	case Seeded:
 		c.setSeeds(event.Seeds)
 	case Stated:
-		c.self.Ready, c.self.Leaving = event.Ready, event.Leaving
-		c.self.Edition++
-		c.urgent = true
+		c.state(now, event)
 	}
 	c.advance(now)
 	return c.actions
@@ -170,10 +182,14 @@
 
 // advance does what is due at now.
 func (c *Controller) advance(now ferry.Moment) {
-	c.updateView(now)
-	c.chooseLeads(now)
+	if c.isDirty {
+		c.isDirty = false
+		c.updateView(now)
+		c.chooseLeads(now)
+	}
 	c.beat(now)
 	c.startRead(now)
+	c.nameReader(now)
 	c.pool.decay(now.Steady)
 	c.pushEvidence(now)
 	if c.finality != 0 && now.Steady >= c.finality {
@@ -181,6 +197,23 @@
 	}
 }
 
+// state changes what this VM tells about itself. VMs that it leads hear at once
+// that it leaves.
+func (c *Controller) state(now ferry.Moment, stated Stated) {
+	isLeaving := stated.Leaving && !c.self.Leaving
+	c.self.Ready, c.self.Leaving = stated.Ready, stated.Leaving
+	c.self.Edition++
+	c.urgent, c.isDirty = true, true
+	if !isLeaving {
+		return
+	}
+	for address, l := range c.links {
+		if l.isFollower(now.Steady) {
+			c.send(now, address, l, false)
+		}
+	}
+}
+
 func (c *Controller) emit(action Action) {
 	c.actions = append(c.actions, action)
 }
@@ -217,7 +250,8 @@
 // Pooled returns the pooled log odds of targets.
 func (c *Controller) Pooled() map[ferry.TargetID]float64 { return c.pool.all() }
 
-// Lead returns the first lead and whether it is this VM.
+// Lead returns the first lead of this VM, and whether it is this VM itself: then
+// it is the first lead of the fleet.
 func (c *Controller) Lead() (lead netip.AddrPort, isSelf bool) {
 	if len(c.leads) == 0 {
 		return c.self.Peers, true
@@ -225,6 +259,9 @@
 	return c.leads[0], c.leads[0] == c.self.Peers
 }
 
+// LeadsPlace reports whether this VM leads the VMs of its place.
+func (c *Controller) LeadsPlace() bool { return c.leadsPlace }
+
 // FleetSize returns the largest fleet that is remembered.
 func (c *Controller) FleetSize() int {
 	size := c.peaks.largest()
@@ -236,46 +273,6 @@
 	return max(1, size)
 }
 
-// HeldShare returns the share of every allowance that this VM may grant at
-// now, from 0 to 1.
-func (c *Controller) HeldShare(now ferry.Moment) float64 {
-	share := 0.0
-	for _, l := range c.links {
-		if l.lentUntil.Steady > now.Steady && l.lentUntil.Wall > now.Wall {
-			share += l.share
-		}
-	}
-	if _, isSelf := c.Lead(); isSelf && c.isLendOver(now) {
-		share += c.ownShare(now)
-	}
-	return min(1, share)
-}
-
-// ownShare returns the share that belongs to this VM.
-func (c *Controller) ownShare(now ferry.Moment) float64 {
-	if !c.hasHeard && len(c.seeds) > 0 && now.Steady-c.started < aloneAfter {
-		return 0
-	}
-	return 1 / float64(c.denominator(now))
-}
-
-// denominator returns the number of VMs among which the allowances are divided.
-// VMs that all have just started may be a part of a fleet that they do not
-// see, so they count it as unknownFleet at least.
-func (c *Controller) denominator(now ferry.Moment) int {
-	size := c.FleetSize()
-	if c.isSettled || now.Steady-c.started > settleAfter {
-		return size
-	}
-	return max(size, unknownFleet)
-}
-
-// isLendOver reports whether the last loan of the own share has ended. The
-// lender counts by the clock that ran less.
-func (c *Controller) isLendOver(now ferry.Moment) bool {
-	return now.Steady >= c.lentUntil.Steady && now.Wall >= c.lentUntil.Wall
-}
-
 // merge takes an update in and tells everyone.
 func (c *Controller) merge(now ferry.Moment, update Update) bool {
 	changed, ok := c.records.Merge(now.Steady, update, c.catalog)
@@ -305,8 +302,8 @@
 }
 
 // observe collects evidence of this VM.
-func (c *Controller) observe(evidence []Evidence) {
-	for _, e := range evidence {
+func (c *Controller) observe(now ferry.Moment, evidence []Evidence) {
+	for _, e := range c.own.weigh(now.Steady, evidence) {
 		c.pending[e.Target] += e.LogOdds
 		if e.LogOdds > 0 {
 			c.urgent = true
--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -30,17 +30,20 @@
 		}
 		// A new process knows nothing of the old one.
 		*l = link{sent: l.sent, nextBeat: l.nextBeat}
+		c.isDirty = true
 	}
 	if exchange.Sequence <= l.heard {
 		return
 	}
 	l.heard = exchange.Sequence
+	c.isDirty = c.isDirty || !c.hasHeard
 	c.hasHeard = true
 	if exchange.IsSettled && !c.isSettled {
 		c.isSettled = true
 		c.peaks.add(now.Steady, max(exchange.FleetSize, c.peaks.largest()))
 	}
 	if exchange.HasSelf && !l.vm.isNewer(exchange.Self) {
+		c.isDirty = c.isDirty || l.vm != exchange.Self
 		l.vm = exchange.Self
 	}
 	l.revision, l.configRevision = exchange.Revision, exchange.ConfigRevision
@@ -91,17 +94,19 @@
 
 // receiveBeat handles the part of a lead.
 func (c *Controller) receiveBeat(now ferry.Moment, from netip.AddrPort, l *link, exchange Exchange, sent ferry.Moment, isEcho bool) {
+	c.isDirty = c.isDirty || !l.isFollower(now.Steady)
 	l.beatAt = now.Steady
-	l.listHas, l.evidenceHas = exchange.List.Version, exchange.EvidenceVersion
-	if exchange.Lends && isEcho {
-		l.lentUntil, l.share = sent.Add(LendTerm), 1/float64(max(1, exchange.FleetSize))
+	l.viewHas, l.evidenceHas = exchange.ListHas, exchange.EvidenceVersion
+	if l.members.apply(now.Steady, exchange.List) {
+		c.isDirty = true
 	}
-	if !exchange.Lends {
-		l.lentUntil = ferry.Moment{}
+	c.takeLoan(l, exchange, sent, isEcho)
+	c.poolEvidence(now, l.vm.Place, exchange.Evidence)
+	c.passUp(exchange.Evidence)
+	if c.isDirty {
+		// The answer names a VM that has just come.
+		c.updateView(now)
 	}
-	c.poolEvidence(now, l.vm, &l.reporter, exchange.Evidence)
-	c.updateView(now)
-	c.roster.update(c.followers(now.Steady))
 	if c.needsReply(now, l) {
 		c.send(now, from, l, false)
 	} else if l.evidenceHas != c.pool.version {
@@ -133,7 +138,7 @@
 
 // needsReply reports whether a beat has to be answered now.
 func (c *Controller) needsReply(now ferry.Moment, l *link) bool {
-	if l.revision < c.records.Revision() || l.listHas != c.roster.version || len(l.sent) == 0 {
+	if l.revision < c.records.Revision() || l.viewHas != c.viewRoster.version || l.members.version != l.toldMembers || len(l.sent) == 0 {
 		return true
 	}
 	since := now.Since(l.sent[len(l.sent)-1].at)
@@ -142,18 +147,22 @@
 
 // receivePulse handles the part of a follower.
 func (c *Controller) receivePulse(now ferry.Moment, l *link, exchange Exchange) {
+	c.isDirty = c.isDirty || !l.answers(now.Steady) || now.Steady < l.silentUntil
 	l.pulseAt, l.askedAt, l.silentUntil = now.Steady, 0, 0
 	l.reader = exchange.Reader
-	l.applyList(exchange.List)
-	if l.listVersion == exchange.List.Version {
-		l.listAt = now.Steady
+	l.membersHas = exchange.ListHas
+	if l.list.apply(now.Steady, exchange.List) {
+		c.isDirty = true
 	}
+	c.takeBack(l, exchange)
 	lead, isSelf := c.Lead()
 	if isSelf || lead != l.vm.Peers || !exchange.HasEvidence {
 		return
 	}
 	l.evidenceVersion = exchange.EvidenceVersion
-	c.pool.take(now.Steady, exchange.Evidence)
+	if c.pool.take(now.Steady, exchange.Evidence) {
+		c.pushDue[c.options.Regions[c.self.Place]] = true
+	}
 	c.emit(EvidenceChanged{})
 }
 
@@ -163,7 +172,7 @@
 	exchange := Exchange{
 		Sequence: c.sequence, Echo: l.heard, Incarnation: c.self.Incarnation, Beat: beat,
 		Revision: c.records.Revision(), ConfigRevision: c.records.ConfigRevision(),
-		FleetSize: c.peaks.largest(), IsSettled: c.isSettled || now.Steady-c.started > settleAfter, Reads: c.read.isSound(now.Steady),
+		FleetSize: c.peaks.largest(), IsSettled: c.isSettled || now.Steady-c.started > settleAfter, Reads: c.hasReads(now.Steady),
 	}
 	if l.selfKnown != c.self {
 		exchange.Self, exchange.HasSelf = c.self, true
@@ -175,7 +184,8 @@
 		exchange.HasProof = true
 		exchange.ProofAge = max(0, now.LongestSince(c.proof))
 	}
-	// Leads learn from each other; a follower tells what it read by itself.
+	// Leads learn from each other; a follower tells what it or a VM that it leads
+	// read by itself.
 	if l.heard != 0 && l.revision < c.records.Revision() && (!beat || exchange.Reads) {
 		c.addDelta(now, l, &exchange)
 	}
@@ -200,29 +210,27 @@
 
 // fillBeat adds what only leads get.
 func (c *Controller) fillBeat(now ferry.Moment, to netip.AddrPort, l *link, exchange *Exchange) {
-	exchange.List.Version, exchange.EvidenceVersion = l.listVersion, l.evidenceVersion
+	exchange.ListHas, exchange.EvidenceVersion = l.list.version, l.evidenceVersion
+	exchange.List = c.members.since(l.membersHas)
+	l.membersHas = exchange.List.Version
 	exchange.FleetSize = c.denominator(now)
-	isFirst := len(c.leads) > 0 && c.leads[0] == to
-	if !isFirst {
-		return
-	}
-	exchange.Evidence = c.takePending()
-	// A share is lent only to a lead that has counted this VM.
-	if l.answers(now.Steady) && (c.lentTo == to || c.isLendOver(now)) {
-		exchange.Lends = true
-		c.lentTo, c.lentUntil = to, now.Add(LendTerm)
+	if len(c.leads) > 0 && c.leads[0] == to {
+		exchange.Evidence = c.takePending()
+		c.lend(now, to, l, exchange)
 	}
 }
 
 // fillPulse adds what only followers get.
 func (c *Controller) fillPulse(now ferry.Moment, l *link, exchange *Exchange) {
-	c.roster.update(c.followers(now.Steady))
-	exchange.List = c.roster.since(l.listHas)
-	exchange.Reader = c.readerFor(now.Steady)
+	exchange.ListHas = l.members.version
+	l.toldMembers = l.members.version
+	exchange.List = c.viewRoster.since(l.viewHas)
+	exchange.Reader = c.read.reader
+	exchange.Returns = c.giveBack(now)
 	exchange.EvidenceVersion = c.pool.version
 	if l.evidenceHas != c.pool.version {
 		exchange.HasEvidence, exchange.Evidence = true, c.pool.since(l.evidenceHas)
 	}
 	// Both are sent once; the next beat tells whether they came.
-	l.listHas, l.evidenceHas = exchange.List.Version, exchange.EvidenceVersion
+	l.viewHas, l.evidenceHas = exchange.List.Version, exchange.EvidenceVersion
 }
--- a/lead/link.go
+++ b/lead/link.go
@@ -1,6 +1,8 @@
 package lead
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -46,24 +48,24 @@
 	// revision and configRevision are the other side's state.
 	revision       uint64
 	configRevision uint64
-	// listHas and evidenceHas are the versions of this VM's list and evidence
-	// that the other side has.
-	listHas     uint64
+	// viewHas, membersHas and evidenceHas are the versions of this VM's view,
+	// members and evidence that the other side has.
+	viewHas     uint64
+	membersHas  uint64
 	evidenceHas uint64
+	// toldMembers is the version of the VM's members that it was told to be here.
+	toldMembers uint64
 
-	// list is the list of VMs that came from the VM.
-	list            map[netip.AddrPort]VM
-	listVersion     uint64
-	listAt          time.Duration
+	// list are the VMs that the VM knows, from its pulses.
+	list vmList
+	// members are the VMs that the VM leads, from its beats.
+	members         vmList
 	evidenceVersion uint64
 	fleetSize       int
 	reader          netip.AddrPort
 	reads           bool
 
-	// reporter weighs the evidence of the VM.
-	reporter reporter
-
-	// lentUntil is the moment at which the share that the VM lent ends.
+	// lentUntil is the moment at which the loan of share by the VM ends.
 	lentUntil ferry.Moment
 	share     float64
 }
@@ -92,7 +94,34 @@
 	return l.beatAt != 0 && now-l.beatAt < followerTimeout
 }
 
+// isUnanswered reports whether the last beat to the VM got no pulse.
+func (l *link) isUnanswered() bool { return l.askedAt != 0 }
+
 // answers reports whether the VM answered as a lead a short while ago.
 func (l *link) answers(now time.Duration) bool {
 	return l.pulseAt != 0 && now-l.pulseAt < listTimeout
 }
+
+// told returns the VMs that the VM knows, by its last pulses.
+func (l *link) told(now time.Duration) iter.Seq[VM] {
+	if !l.list.isFresh(now) {
+		return maps.Values[map[netip.AddrPort]VM](nil)
+	}
+	return maps.Values(l.list.vms)
+}
+
+// seen returns the VM itself if it was heard a short while ago, and the VMs that
+// it leads.
+func (l *link) seen(now time.Duration) iter.Seq[VM] {
+	return func(yield func(VM) bool) {
+		isFollower := l.isFollower(now)
+		if (isFollower || l.answers(now)) && !yield(l.vm) || !isFollower || !l.members.isFresh(now) {
+			return
+		}
+		for _, vm := range l.members.vms {
+			if !yield(vm) {
+				return
+			}
+		}
+	}
+}
--- a/lead/message.go
+++ b/lead/message.go
@@ -16,6 +16,9 @@
 	Place       ferry.PlaceID
 	Callers     netip.AddrPort
 	ControlPort uint16
+	// Power is the processor of the VM in thousandths of a core, or zero when it
+	// is not known. VMs with more of it are preferred as leads.
+	Power uint32
 	// Ready reports that the VM serves callers.
 	Ready bool
 	// Leaving reports that the VM is about to stop.
@@ -71,17 +74,24 @@
 	DeltaConfig uint64
 	// Bulk asks the receiver to copy the records over TCP.
 	Bulk bool
-	// List is the lead's list of VMs: in a beat the version that the sender
-	// has, in a pulse the changes since that version.
+	// List leads to the sender's present list of VMs: in a beat those that it
+	// leads, in a pulse those that it knows.
 	List ListChange
+	// ListHas is the version of the receiver's list that the sender has.
+	ListHas uint64
 	// FleetSize is the largest fleet that the sender remembers; in a beat it is
 	// the number of VMs among which it divides the allowances.
 	FleetSize int
 	// IsSettled reports that the sender knows the size of the fleet.
 	IsSettled bool
-	// Lends reports that the sender lends its share of all allowances to the
-	// receiver for LendTerm.
-	Lends bool
+	// Lent is the part of all allowances that the sender lends to the receiver,
+	// and LendTerm for how long. A zero LendTerm leaves the last loan as it is; a
+	// zero Lent ends it.
+	Lent     float64
+	LendTerm time.Duration
+	// Returns reports that the sender gave back what was lent to it, up to the
+	// message Echo.
+	Returns bool
 	// Reads reports that the sender's own calls to the store succeed.
 	Reads bool
 	// Reader is the VM whose reads a lead relies on, or the zero AddrPort.
--- a/lead/pool.go
+++ b/lead/pool.go
@@ -41,14 +41,13 @@
 	reporterTrust = 4
 )
 
-// reporter is what a lead remembers of the evidence of one VM: when it last
-// spoke against each target.
+// reporter is what a VM remembers of its own evidence: when it last spoke
+// against each target.
 type reporter struct {
 	suspected map[ferry.TargetID]time.Duration
 }
 
-// weigh scales the evidence of a VM down by the number of targets that it
-// suspects.
+// weigh scales the evidence down by the number of targets that the VM suspects.
 func (r *reporter) weigh(now time.Duration, evidence []Evidence) []Evidence {
 	if r.suspected == nil {
 		r.suspected = map[ferry.TargetID]time.Duration{}
@@ -86,25 +85,33 @@
 	p.decay(now)
 	crossed := false
 	for _, e := range evidence {
-		before := p.of(e.Target)
-		after := min(poolMost, max(poolLeast, before+e.LogOdds))
-		version := p.entries[e.Target].version
-		if max(before, after) > evidenceSent && before != after {
-			p.version++
-			version = p.version
-		}
-		p.set(e.Target, after, version)
-		crossed = crossed || (before < suspectAt) != (after < suspectAt)
+		after := min(poolMost, max(poolLeast, p.of(e.Target)+e.LogOdds))
+		crossed = p.change(e.Target, after) || crossed
 	}
 	return crossed
 }
 
-// take takes what a lead pooled over.
-func (p *Pool) take(now time.Duration, evidence []Evidence) {
+// take takes what a lead pooled over and reports whether a target became
+// suspect or ceased to be.
+func (p *Pool) take(now time.Duration, evidence []Evidence) bool {
 	p.decay(now)
+	crossed := false
 	for _, e := range evidence {
-		p.set(e.Target, e.LogOdds, 0)
+		crossed = p.change(e.Target, e.LogOdds) || crossed
+	}
+	return crossed
+}
+
+// change sets the log odds of a target and reports whether it became suspect or
+// ceased to be.
+func (p *Pool) change(target ferry.TargetID, after float64) bool {
+	before, version := p.of(target), p.entries[target].version
+	if max(before, after) > evidenceSent && before != after {
+		p.version++
+		version = p.version
 	}
+	p.set(target, after, version)
+	return (before < suspectAt) != (after < suspectAt)
 }
 
 func (p *Pool) of(target ferry.TargetID) float64 {
--- a/lead/read.go
+++ b/lead/read.go
@@ -1,8 +1,10 @@
 package lead
 
 import (
+	"cmp"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"monsoonferry.org/ferry"
@@ -14,16 +16,23 @@
 	// watchPause gathers changes between two watches.
 	watchPause = 150 * time.Millisecond
 	// staleAfter is the age of the proof at which a VM reads by itself.
-	staleAfter = 1200 * time.Millisecond
+	staleAfter = 2 * time.Second
 	// staleSpread spreads the VMs that start to read.
 	staleSpread = 400 * time.Millisecond
-	// bootSpread is the same for a process without any proof.
-	bootSpread = 600 * time.Millisecond
+	// bootSpread is the same for a process without any proof, and firstSpread that
+	// for one which leads all VMs that it knows: a round trip between regions and
+	// the time in which the VMs of a fleet start.
+	bootSpread  = 600 * time.Millisecond
+	firstSpread = 150 * time.Millisecond
 	// soundFor is how long a successful read counts as reading.
 	soundFor = 1200 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = time.Second
+	// readerTurn is the time after which a lead that can't read relies on another
+	// follower: a call that fails without an answer takes longer, one that
+	// succeeds a few milliseconds.
+	readerTurn = 300 * time.Millisecond
 	// outageAfter is the age of the proof from which deletions count as
 	// suspect: targets may have been unable to renew their entries.
 	outageAfter = 1200 * time.Millisecond
@@ -43,6 +52,11 @@
 	// heldUntil is the steady time until which deletions are held after an
 	// outage.
 	heldUntil time.Duration
+	// failedAt is the steady time of the first failure since the last success, or
+	// zero.
+	failedAt time.Duration
+	// reader is the follower on whose reads this VM relies, or the zero AddrPort.
+	reader netip.AddrPort
 }
 
 // isSound reports whether a call succeeded a short while ago.
@@ -67,7 +81,7 @@
 // lead, its proof is old, or its lead relies on it.
 func (c *Controller) mustRead(now ferry.Moment) bool {
 	if !c.hasProof {
-		return now.Steady-c.started > time.Duration(c.options.Jitter*float64(bootSpread))+c.leadDelay()
+		return now.Steady-c.started > c.bootDelay()
 	}
 	lead, isSelf := c.Lead()
 	if isSelf {
@@ -77,29 +91,68 @@
 		return true
 	}
 	l := c.links[lead]
-	return l != nil && l.reader == c.self.Peers && c.read.isSound(now.Steady)
+	return l != nil && l.reader == c.self.Peers
 }
 
-// leadDelay lets the first lead read before the others of a new fleet.
-func (c *Controller) leadDelay() time.Duration {
+// bootDelay is the time after which a new process without any proof reads: the
+// first lead of the VMs that it knows before the others.
+func (c *Controller) bootDelay() time.Duration {
 	if _, isSelf := c.Lead(); isSelf && len(c.view) > 1 {
-		return 0
+		return time.Duration(c.options.Jitter * float64(firstSpread))
 	}
-	return bootSpread
+	return bootSpread + time.Duration(c.options.Jitter*float64(bootSpread))
 }
 
-// readerFor returns the follower on whose reads this lead relies.
-func (c *Controller) readerFor(now time.Duration) netip.AddrPort {
+// hasReads reports whether this VM, or one that it leads, read the store a
+// short while ago.
+func (c *Controller) hasReads(now time.Duration) bool {
 	if c.read.isSound(now) {
+		return true
+	}
+	for _, l := range c.links {
+		if l.reads && l.isFollower(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// nameReader chooses the follower on whose reads this lead relies: as the first
+// lead of the fleet, or as the VM on which that one relies, while the own calls
+// fail. A new reader is told at once.
+func (c *Controller) nameReader(now ferry.Moment) {
+	before := c.read.reader
+	c.read.reader = c.chooseReader(now.Steady)
+	if l := c.links[c.read.reader]; l != nil && c.read.reader != before {
+		c.send(now, c.read.reader, l, false)
+	}
+}
+
+// chooseReader takes a follower that reads, or lets all followers try by turns.
+func (c *Controller) chooseReader(now time.Duration) netip.AddrPort {
+	lead, isSelf := c.Lead()
+	if l := c.links[lead]; !isSelf && (l == nil || l.reader != c.self.Peers) {
+		return netip.AddrPort{}
+	}
+	if c.read.failedAt == 0 {
 		return netip.AddrPort{}
 	}
-	var reader netip.AddrPort
+	var followers []netip.AddrPort
 	for address, l := range c.links {
-		if l.isFollower(now) && l.reads && (!reader.IsValid() || rank(address) < rank(reader)) {
-			reader = address
+		if l.isFollower(now) {
+			followers = append(followers, address)
+		}
+	}
+	if len(followers) == 0 {
+		return netip.AddrPort{}
+	}
+	slices.SortFunc(followers, func(a, b netip.AddrPort) int { return cmp.Compare(rank(a), rank(b)) })
+	for _, address := range followers {
+		if c.links[address].reads {
+			return address
 		}
 	}
-	return reader
+	return followers[int((now-c.read.failedAt)/readerTurn)%len(followers)]
 }
 
 // endRead takes the end of a call in.
@@ -114,7 +167,7 @@
 		c.read.heldUntil = now.Steady + deletionHold
 	}
 	c.read.soundAt, c.read.started = now.Steady, true
-	c.read.pause, c.read.full = 0, false
+	c.read.pause, c.read.full, c.read.failedAt = 0, false, 0
 	c.read.notUntil = now.Steady
 	if len(ended.Listing.Records) > 0 {
 		c.read.notUntil += watchPause
@@ -153,6 +206,9 @@
 		c.read.notUntil = now.Steady
 		return
 	}
+	if c.read.failedAt == 0 {
+		c.read.failedAt = now.Steady
+	}
 	c.read.pause = min(retryMost, max(retryFirst, 2*c.read.pause))
 	c.read.notUntil = now.Steady + c.read.pause
 }
--- a/lead/roster.go
+++ b/lead/roster.go
@@ -3,10 +3,11 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 )
 
-// roster is a lead's list of VMs with a version for each change, so that its
-// followers get only what they lack. The zero roster is ready to use.
+// roster is a list of VMs with a version for each change, so that other VMs
+// get only what they lack. The zero roster is ready to use.
 type roster struct {
 	version uint64
 	entries map[netip.AddrPort]rosterEntry
@@ -19,11 +20,12 @@
 	isRemoved bool
 }
 
-// update makes list the present state.
-func (r *roster) update(list []VM) {
+// update makes list the present state and reports whether that changed it.
+func (r *roster) update(list []VM) bool {
 	if r.entries == nil {
 		r.entries = map[netip.AddrPort]rosterEntry{}
 	}
+	before := r.version
 	present := make(map[netip.AddrPort]bool, len(list))
 	for _, vm := range list {
 		present[vm.Peers] = true
@@ -38,6 +40,7 @@
 			r.entries[address] = rosterEntry{vm: known.vm, version: r.version, isRemoved: true}
 		}
 	}
+	return r.version != before
 }
 
 // since returns what changed after a version.
@@ -46,6 +49,9 @@
 		after = 0
 	}
 	change := ListChange{After: after, Version: r.version}
+	if after == r.version {
+		return change
+	}
 	for address, known := range r.entries {
 		switch {
 		case known.version <= after:
@@ -60,19 +66,38 @@
 	return change
 }
 
-// applyList takes a change of the other side's list in, unless it continues a
-// version that is not here.
-func (l *link) applyList(change ListChange) {
-	if change.After == 0 && len(change.VMs) > 0 {
-		l.list = make(map[netip.AddrPort]VM, len(change.VMs))
-	} else if change.After != l.listVersion {
-		return
+// vmList is a list of VMs that another VM sent. The zero vmList is empty.
+type vmList struct {
+	vms     map[netip.AddrPort]VM
+	version uint64
+	// at is the steady time at which the list was last known to be complete, or
+	// zero.
+	at time.Duration
+}
+
+// apply takes a change in and reports whether it changed the list. A change
+// that continues a version which is not here is passed over.
+func (l *vmList) apply(now time.Duration, change ListChange) bool {
+	isChanged := len(change.VMs)+len(change.Removed) > 0
+	switch {
+	case change.After == 0:
+		isChanged = isChanged || len(l.vms) > 0
+		l.vms = make(map[netip.AddrPort]VM, len(change.VMs))
+	case change.After != l.version:
+		return false
 	}
 	for _, vm := range change.VMs {
-		l.list[vm.Peers] = vm
+		l.vms[vm.Peers] = vm
 	}
 	for _, address := range change.Removed {
-		delete(l.list, address)
+		delete(l.vms, address)
 	}
-	l.listVersion = change.Version
+	l.version = change.Version
+	l.at = now
+	return isChanged
+}
+
+// isFresh reports whether the list was complete a short while ago.
+func (l *vmList) isFresh(now time.Duration) bool {
+	return l.at != 0 && now-l.at < listTimeout
 }
--- a/lead/view.go
+++ b/lead/view.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"cmp"
 	"encoding/binary"
 	"net/netip"
 	"slices"
@@ -39,49 +40,49 @@
 	return p[0].size
 }
 
-// followers returns this VM and the VMs that ask it to lead, in the order of
-// their addresses.
+// followers returns the VMs that ask this one to lead.
 func (c *Controller) followers(now time.Duration) []VM {
-	list := []VM{c.self}
+	var list []VM
 	for _, l := range c.links {
 		if l.isFollower(now) {
 			list = append(list, l.vm)
 		}
 	}
-	slices.SortFunc(list, func(a, b VM) int { return a.Peers.Compare(b.Peers) })
 	return list
 }
 
-// sighting is when a process was first seen.
+// sighting is when a process was first seen, and the order of its VM.
 type sighting struct {
 	incarnation uint64
 	at          time.Duration
+	rank        uint64
 }
 
-// isYoung reports whether a process was first seen a short while ago. Young
-// processes are not preferred as leads: they know nothing yet.
-func (c *Controller) isYoung(now time.Duration, vm VM) bool {
+// sight returns when a process was first seen.
+func (c *Controller) sight(now time.Duration, vm VM) sighting {
 	seen, found := c.firstSeen[vm.Peers]
 	if !found || seen.incarnation != vm.Incarnation {
-		seen = sighting{incarnation: vm.Incarnation, at: now}
+		seen = sighting{incarnation: vm.Incarnation, at: now, rank: rank(vm.Peers)}
 		c.firstSeen[vm.Peers] = seen
 	}
-	return now-seen.at < youngFor
+	return seen
 }
 
-// updateView joins what the leads list with the VMs that beat to this one.
+// updateView joins what the leads list with the VMs that beat to this one and
+// those that they lead.
 func (c *Controller) updateView(now ferry.Moment) {
 	joined := map[netip.AddrPort]VM{c.self.Peers: c.self}
+	knowsPlace := c.leadsPlace && now.Steady-c.leadsPlaceAt > listTimeout
 	for _, l := range c.links {
-		if l.listAt != 0 && now.Steady-l.listAt < listTimeout {
-			for _, vm := range l.list {
+		for vm := range l.told(now.Steady) {
+			// The lead of a place knows its VMs at first hand. The lists of others
+			// may hold what it told them before.
+			if !knowsPlace || vm.Place != c.self.Place {
 				addNewer(joined, vm)
 			}
 		}
-	}
-	for _, l := range c.links {
-		if l.isFollower(now.Steady) || l.answers(now.Steady) {
-			addNewer(joined, l.vm)
+		for vm := range l.seen(now.Steady) {
+			addNewer(joined, vm)
 		}
 	}
 	joined[c.self.Peers] = c.self
@@ -93,10 +94,14 @@
 	slices.SortFunc(view, func(a, b VM) int { return a.Peers.Compare(b.Peers) })
 	c.forgetKnown(now.Steady)
 	c.peaks.add(now.Steady, len(view))
-	if slices.Equal(view, c.view) {
+	if c.members.update(c.followers(now.Steady)) && c.leadsPlace {
+		c.urgent = true
+	}
+	if slices.Equal(view, c.view) && c.viewRoster.version > 0 {
 		return
 	}
 	c.view = view
+	c.viewRoster.update(view)
 	c.emit(ViewChanged{})
 }
 
@@ -127,37 +132,69 @@
 	return xxhash.Sum64(key[:])
 }
 
-// chooseLeads takes the first VMs of the view by age and rank.
-func (c *Controller) chooseLeads(now ferry.Moment) {
-	candidates := make([]VM, 0, len(c.view))
+// candidate is a VM that may lead.
+type candidate struct {
+	vm VM
+	sighting
+	// isYoung reports that the process was first seen a short while ago. Young
+	// processes are not preferred as leads: they know nothing yet.
+	isYoung bool
+}
+
+// compareCandidates orders VMs by age, power and rank.
+func compareCandidates(a, b candidate) int {
+	switch {
+	case a.isYoung && !b.isYoung:
+		return 1
+	case b.isYoung && !a.isYoung:
+		return -1
+	case a.vm.Power != b.vm.Power:
+		return cmp.Compare(b.vm.Power, a.vm.Power)
+	}
+	return cmp.Compare(a.rank, b.rank)
+}
+
+// candidates returns the VMs of the view that may lead, the best first.
+func (c *Controller) candidates(now ferry.Moment) []candidate {
+	list := make([]candidate, 0, len(c.view))
 	for _, vm := range c.view {
 		l := c.links[vm.Peers]
 		if l != nil && l.askedAt != 0 && now.Steady-l.askedAt > silentAfter {
 			l.silentUntil, l.askedAt = now.Steady+silentFor, 0
-			l.lentUntil = ferry.Moment{}
+			l.lentUntil, l.share = ferry.Moment{}, 0
 		}
+		seen := c.sight(now.Steady, vm)
 		if vm.Leaving || (l != nil && now.Steady < l.silentUntil) {
 			continue
 		}
-		candidates = append(candidates, vm)
+		list = append(list, candidate{vm: vm, sighting: seen, isYoung: now.Steady-seen.at < youngFor})
 	}
-	slices.SortFunc(candidates, func(a, b VM) int {
-		aYoung, bYoung := c.isYoung(now.Steady, a), c.isYoung(now.Steady, b)
-		if aYoung != bYoung {
-			if aYoung {
-				return 1
-			}
-			return -1
-		}
-		if rank(a.Peers) < rank(b.Peers) {
-			return -1
+	slices.SortFunc(list, compareCandidates)
+	return list
+}
+
+// chooseLeads takes the first VMs of the place as leads, or, on the first VM of
+// a place, the first ones of the fleet.
+func (c *Controller) chooseLeads(now ferry.Moment) {
+	list := c.candidates(now)
+	near := make([]candidate, 0, len(list))
+	for _, known := range list {
+		if known.vm.Place == c.self.Place {
+			near = append(near, known)
 		}
-		return 1
-	})
+	}
+	leadsPlace := len(near) == 0 || near[0].vm.Peers == c.self.Peers
+	if leadsPlace && !c.leadsPlace {
+		c.leadsPlaceAt = now.Steady
+	}
+	c.leadsPlace = leadsPlace
+	if !leadsPlace {
+		list = near
+	}
 	before, _ := c.Lead()
 	c.leads = c.leads[:0]
-	for _, vm := range candidates[:min(leadCount, len(candidates))] {
-		c.leads = append(c.leads, vm.Peers)
+	for _, known := range list[:min(leadCount, len(list))] {
+		c.leads = append(c.leads, known.vm.Peers)
 	}
 	if after, _ := c.Lead(); after != before {
 		c.emit(Followed{Lead: after})
@@ -174,8 +211,11 @@
 			continue
 		}
 		gap := firstBeat
-		if i > 0 {
+		switch {
+		case i > 0:
 			gap = secondBeat
+		case c.leadsPlace:
+			gap = upperBeat
 		}
 		c.beatTo(now, lead, gap, c.urgent && i == 0)
 	}
@@ -185,13 +225,12 @@
 
 // poolOwn adds the evidence of this VM to its own pool.
 func (c *Controller) poolOwn(now ferry.Moment) {
-	if len(c.pending) == 0 {
-		return
+	if len(c.pending) > 0 {
+		c.poolEvidence(now, c.self.Place, c.takePending())
 	}
-	c.poolEvidence(now, c.self, &c.own, c.takePending())
 }
 
-// takePending returns the evidence of this VM that no lead has got.
+// takePending returns the evidence that no lead has got.
 func (c *Controller) takePending() []Evidence {
 	evidence := make([]Evidence, 0, len(c.pending))
 	for target, odds := range c.pending {
@@ -201,11 +240,24 @@
 	return evidence
 }
 
-// poolEvidence adds the evidence of a VM to the pool of this lead.
-func (c *Controller) poolEvidence(now ferry.Moment, from VM, weights *reporter, evidence []Evidence) {
-	if c.pool.add(now.Steady, weights.weigh(now.Steady, evidence)) {
+// poolEvidence adds evidence from a place to the pool of this lead.
+func (c *Controller) poolEvidence(now ferry.Moment, from ferry.PlaceID, evidence []Evidence) {
+	if c.pool.add(now.Steady, evidence) {
 		c.emit(EvidenceChanged{})
-		c.pushDue[c.options.Regions[from.Place]] = true
+		c.pushDue[c.options.Regions[from]] = true
+	}
+}
+
+// passUp adds evidence of a VM that this one leads to what its own lead gets.
+func (c *Controller) passUp(evidence []Evidence) {
+	if _, isSelf := c.Lead(); isSelf {
+		return
+	}
+	for _, e := range evidence {
+		c.pending[e.Target] += e.LogOdds
+		if e.LogOdds > 0 {
+			c.urgent = true
+		}
 	}
 }
 
@@ -222,10 +274,10 @@
 		return
 	}
 	l.nextBeat = now.Steady + gap
+	c.send(now, to, l, true)
 	if l.askedAt == 0 {
 		l.askedAt = now.Steady
 	}
-	c.send(now, to, l, true)
 }
 
 // beatSeeds asks seeds, and VMs known from before, that are outside the view.
--- a/lead/world_test.go
+++ b/lead/world_test.go
@@ -212,6 +212,28 @@
 	}
 }
 
+// first returns the VM that leads the fleet.
+func (w *world) first() int {
+	return slices.IndexFunc(w.vms, func(vm *worldVM) bool {
+		if !vm.alive {
+			return false
+		}
+		_, isSelf := vm.c.Lead()
+		return isSelf
+	})
+}
+
+// placeLead returns a VM that leads its place, but not the fleet.
+func (w *world) placeLead() int {
+	return slices.IndexFunc(w.vms, func(vm *worldVM) bool {
+		if !vm.alive {
+			return false
+		}
+		_, isSelf := vm.c.Lead()
+		return vm.c.LeadsPlace() && !isSelf
+	})
+}
+
 func (w *world) index(address netip.AddrPort) int {
 	return slices.IndexFunc(w.vms, func(vm *worldVM) bool { return vm.address.Addr() == address.Addr() })
 }
--- a/node/loop.go
+++ b/node/loop.go
@@ -10,7 +10,6 @@
 
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/conf"
-	"monsoonferry.org/ferry/grant"
 	"monsoonferry.org/ferry/lead"
 	"monsoonferry.org/ferry/lead/leadpb"
 )
@@ -18,12 +17,6 @@
 // maxDatagram is the largest datagram that is read, in bytes.
 const maxDatagram = 16 << 10
 
-// askReceived is an ask for tokens. from is invalid for the VM's own.
-type askReceived struct {
-	from netip.AddrPort
-	ask  grant.Ask
-}
-
 // copyAsked asks the loop for records, for a VM that copies them.
 type copyAsked struct {
 	after, config uint64
@@ -64,6 +57,8 @@
 		n.step(ctx, event)
 	case askReceived:
 		n.answerAsk(event)
+	case answerReceived:
+		n.takeAnswer(event.answer)
 	case copyAsked:
 		packed, dictionary, err := n.controller.Since(n.clock.Now(), event.after, event.config)
 		event.reply <- copyReply{packed: packed, dictionary: dictionary, err: err}
@@ -105,6 +100,7 @@
 		n.step(ctx, lead.Tick{})
 	}
 	n.allowance.tick()
+	n.tickBranches()
 	now := n.clock.Now()
 	bounds := n.state.bounds.Load()
 	n.budgets.SetBounds(bounds.RetryShare, bounds.RetrySlack, n.controller.FleetSize())
@@ -113,6 +109,7 @@
 		n.pool.Sweep(now.Steady, n.isListed)
 	}
 	n.noteStaleness()
+	n.noteViewSize()
 }
 
 // noteStaleness logs when the proof of freshness is lost and regained.
@@ -156,16 +153,13 @@
 			n.chooser.Pool(n.controller.Pooled())
 		case lead.Followed:
 			n.log.Info("lead", "lead", action.Lead)
-			n.holder.Start(n.clock.Now().Steady)
+			n.changeHolder()
 		}
 	}
-	leading, _ := n.controller.Lead()
-	if known := n.leading.Load(); known == nil || *known != leading {
-		n.leading.Store(&leading)
-	}
+	n.chooseAsked()
 }
 
-// noteView publishes the view and logs when its size changed.
+// noteView publishes the view.
 func (n *Node) noteView() {
 	view := n.controller.View()
 	n.directory.SetView(view)
@@ -176,8 +170,13 @@
 		}
 	}
 	n.chooser.SetPeers(near)
-	if len(view) != n.viewSize {
-		n.viewSize = len(view)
+}
+
+// noteViewSize logs the size of the view when it changed. While a fleet starts,
+// the view changes with every message.
+func (n *Node) noteViewSize() {
+	if size := len(n.controller.View()); size != n.viewSize {
+		n.viewSize = size
 		n.log.Info("view", "vms", n.viewSize, "fleet", n.controller.FleetSize())
 	}
 }
@@ -255,37 +254,6 @@
 	}()
 }
 
-// sendAsk carries an ask of this VM to its lead.
-func (n *Node) sendAsk(ask grant.Ask) {
-	leading := n.leading.Load()
-	if leading == nil || *leading == n.parts.Settings.Peers {
-		n.post(askReceived{ask: ask})
-		return
-	}
-	n.sendMessage(*leading, encodeAsk(ask))
-}
-
-// answerAsk decides on an ask for tokens.
-func (n *Node) answerAsk(event askReceived) {
-	now := n.clock.Now()
-	var account *ferry.Account
-	answer := grant.Answer{Sequence: event.ask.Sequence, Account: event.ask.Account, Unknown: true}
-	if view := n.state.view.Load(); view != nil {
-		if account = view.AccountByID(event.ask.Account); account != nil {
-			answer = n.holder.Answer(now.Steady, event.ask, account, n.controller.HeldShare(now))
-		}
-	}
-	if answer.Unknown || answer.Count < event.ask.Waiting {
-		n.log.Info("tokens refused", "account", event.ask.Account, "from", event.from, "waiting", event.ask.Waiting,
-			"granted", answer.Count, "retryAfter", answer.RetryAfter, "share", n.controller.HeldShare(now), "unknown", answer.Unknown)
-	}
-	if !event.from.IsValid() {
-		n.allowance.receive(answer)
-		return
-	}
-	n.sendMessage(event.from, encodeAnswer(answer))
-}
-
 // readDatagrams passes datagrams to the loop until the socket is closed.
 func (n *Node) readDatagrams(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
@@ -319,35 +287,7 @@
 	case *leadpb.Datagram_Ask:
 		n.post(askReceived{from: from, ask: decodeAsk(body.Ask)})
 	case *leadpb.Datagram_Grant:
-		n.allowance.receive(decodeAnswer(body.Grant))
-	}
-}
-
-func encodeAsk(ask grant.Ask) *leadpb.Datagram {
-	return &leadpb.Datagram{Body: &leadpb.Datagram_Ask{Ask: &leadpb.Ask{
-		Sequence: ask.Sequence, Account: string(ask.Account), Count: uint32(ask.Waiting + ask.Ahead), Waiting: uint32(ask.Waiting),
-	}}}
-}
-
-func decodeAsk(message *leadpb.Ask) grant.Ask {
-	waiting := min(message.GetWaiting(), message.GetCount())
-	return grant.Ask{
-		Sequence: message.GetSequence(), Account: ferry.AccountID(message.GetAccount()),
-		Waiting: int(waiting), Ahead: int(message.GetCount() - waiting),
-	}
-}
-
-func encodeAnswer(answer grant.Answer) *leadpb.Datagram {
-	return &leadpb.Datagram{Body: &leadpb.Datagram_Grant{Grant: &leadpb.Grant{
-		Sequence: answer.Sequence, Account: string(answer.Account), Count: uint32(answer.Count),
-		RetryAfter: uint32(answer.RetryAfter.Milliseconds()), Unknown: answer.Unknown,
-	}}}
-}
-
-func decodeAnswer(message *leadpb.Grant) grant.Answer {
-	return grant.Answer{
-		Sequence: message.GetSequence(), Account: ferry.AccountID(message.GetAccount()), Count: int(message.GetCount()),
-		RetryAfter: time.Duration(message.GetRetryAfter()) * time.Millisecond, Unknown: message.GetUnknown(),
+		n.receiveAnswer(decodeAnswer(body.Grant))
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -84,7 +84,12 @@
 	isStale    bool
 	viewSize   int
 
-	leading  atomic.Pointer[netip.AddrPort]
+	// branches hold the tokens of the place that this VM leads.
+	branches       map[ferry.AccountID]*grant.Branch
+	branchSequence uint64
+
+	// asked is the VM that requests ask for tokens.
+	asked    atomic.Pointer[netip.AddrPort]
 	leaving  atomic.Bool
 	drainOne sync.Once
 	drain    chan struct{}
@@ -103,6 +108,7 @@
 		events:    make(chan any, eventQueue),
 		drain:     make(chan struct{}),
 		metrics:   metrics.NewSet(),
+		branches:  map[ferry.AccountID]*grant.Branch{},
 		decoder:   decoder{catalog: parts.Catalog, log: parts.Log},
 	}
 	bounds := settings.Bounds
@@ -116,7 +122,7 @@
 	n.server = relay.NewServer(chain, n.state, parts.Dialect, parts.Clock, parts.Log, counters)
 	self := lead.VM{
 		Peers: settings.Peers, Incarnation: uint64(time.Now().UnixNano()), Place: settings.Place,
-		Callers: settings.Callers, ControlPort: settings.Control.Port(),
+		Callers: settings.Callers, ControlPort: settings.Control.Port(), Power: settings.Power,
 	}
 	n.controller = lead.NewController(parts.Clock.Now(), self, settings.Seeds, parts.Catalog,
 		lead.Options{CanRead: true, IsFirst: settings.IsFirst, Regions: settings.Regions, Jitter: rand.Float64()})
