--- a/grant/branch.go
+++ b/grant/branch.go
@@ -21,10 +21,11 @@
 
 // claim is an ask that is not answered yet.
 type claim struct {
-	from       netip.AddrPort
-	ask        Ask
-	at         time.Duration
-	tickets    []*Ticket
+	from    netip.AddrPort
+	ask     Ask
+	at      time.Duration
+	tickets []*Ticket
+	// granted is the number of tokens that the VM was not told of.
 	granted    int
 	retryAfter time.Duration
 }
@@ -63,26 +64,28 @@
 // Receive takes an answer of the lead above in.
 func (b *Branch) Receive(now time.Duration, answer Answer) { b.purse.Receive(now, answer) }
 
-// Replies returns the answers that are complete at now. A claim that is older
-// than the time after which its VM asks again gets what it has, or nothing.
+// Replies returns what is known at now of the asks under way. A claim that is
+// older than the time after which its VM asks again ends without an answer.
 func (b *Branch) Replies(now time.Duration) []Reply {
 	var replies []Reply
 	open := b.claims[:0]
 	for _, c := range b.claims {
 		c.collect()
-		isLate := now-c.at > askTimeout
-		if len(c.tickets) > 0 && !isLate {
+		isWhole := len(c.tickets) == 0
+		if isWhole || c.granted > 0 {
+			replies = append(replies, Reply{To: c.from, Answer: Answer{
+				Sequence: c.ask.Sequence, Account: c.ask.Account, Count: c.granted, RetryAfter: c.retryAfter,
+				Hops: c.ask.Hops, Partial: !isWhole,
+			}})
+			c.granted = 0
+		}
+		if !isWhole && now-c.at <= askTimeout {
 			open = append(open, c)
 			continue
 		}
 		for _, ticket := range c.tickets {
 			b.purse.Leave(ticket)
 		}
-		if len(c.tickets) == 0 || c.granted > 0 {
-			replies = append(replies, Reply{To: c.from, Answer: Answer{
-				Sequence: c.ask.Sequence, Account: c.ask.Account, Count: c.granted, RetryAfter: c.retryAfter, Hops: c.ask.Hops,
-			}})
-		}
 	}
 	b.claims = open
 	return replies
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -14,11 +15,13 @@
 
 // fleet plays purses of many VMs against one holder.
 type fleet struct {
-	random   *rand.Rand
-	account  ferry.Account
-	holder   Holder
-	share    float64
-	purses   []*Purse
+	random  *rand.Rand
+	account ferry.Account
+	holder  Holder
+	share   float64
+	purses  []*Purse
+	// branches, if any, stand between the purses and the holder.
+	branches []*Branch
 	now      time.Duration
 	sequence uint64
 	// messages are due at their time.
@@ -31,11 +34,15 @@
 	loss     float64
 }
 
+// message is an ask or an answer. It goes to or from a VM, or a branch and the
+// holder.
 type message struct {
-	at     time.Duration
-	vm     int
-	ask    *Ask
-	answer *Answer
+	at       time.Duration
+	vm       int
+	branch   int
+	isBranch bool
+	ask      *Ask
+	answer   *Answer
 }
 
 type waiting struct {
@@ -52,6 +59,14 @@
 	return f
 }
 
+// withBranches puts branches between the purses and the holder.
+func (f *fleet) withBranches(count int) *fleet {
+	for range count {
+		f.branches = append(f.branches, NewBranch(Ask{Account: f.account.ID}))
+	}
+	return f
+}
+
 // farDelay is the time of a message between regions.
 const farDelay = 9 * time.Millisecond
 
@@ -65,20 +80,43 @@
 }
 
 func (f *fleet) send(m message) {
-	if f.random.Float64() >= f.loss {
-		m.at = f.now + f.delay(m.vm)
-		f.messages = append(f.messages, m)
+	if f.random.Float64() < f.loss {
+		return
 	}
+	m.at = f.now + f.delay(m.vm)
+	if len(f.branches) > 0 {
+		m.at = f.now + 500*time.Microsecond
+		if m.isBranch {
+			m.at = f.now + f.delay(m.branch)
+		}
+	}
+	f.messages = append(f.messages, m)
 }
 
 func (f *fleet) ask(vm int) {
 	f.sequence++
 	if ask, ok := f.purses[vm].Due(f.now, f.sequence); ok {
-		f.asks++
 		f.send(message{vm: vm, ask: &ask})
 	}
 }
 
+// testAddress is the address of a VM.
+func testAddress(vm int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(vm)}), 1)
+}
+
+// serve sends what is due at a branch.
+func (f *fleet) serve(i int) {
+	f.sequence++
+	if ask, ok := f.branches[i].Due(f.now, f.sequence); ok {
+		f.send(message{branch: i, isBranch: true, ask: &ask})
+	}
+	for _, reply := range f.branches[i].Replies(f.now) {
+		answer := reply.Answer
+		f.send(message{vm: int(reply.To.Addr().As4()[3]), answer: &answer})
+	}
+}
+
 // request makes one request at a VM.
 func (f *fleet) request(vm int) {
 	ticket := f.purses[vm].Take(f.now)
@@ -100,7 +138,19 @@
 		switch {
 		case m.at > f.now:
 			f.messages = append(f.messages, m)
+		case m.ask != nil && !m.isBranch && len(f.branches) > 0:
+			i := m.vm % len(f.branches)
+			f.branches[i].Claim(f.now, testAddress(m.vm), *m.ask)
+			f.serve(i)
+		case m.isBranch && m.ask != nil:
+			f.asks++
+			answer := f.holder.Answer(f.now, *m.ask, &f.account, f.share)
+			f.send(message{branch: m.branch, isBranch: true, answer: &answer})
+		case m.isBranch:
+			f.branches[m.branch].Receive(f.now, *m.answer)
+			f.serve(m.branch)
 		case m.ask != nil:
+			f.asks++
 			answer := f.holder.Answer(f.now, *m.ask, &f.account, f.share)
 			f.send(message{vm: m.vm, answer: &answer})
 		default:
@@ -113,6 +163,9 @@
 				f.ask(vm)
 			}
 		}
+		for i := range f.branches {
+			f.serve(i)
+		}
 	}
 	tickets := f.tickets
 	f.tickets = nil
@@ -165,6 +218,7 @@
 		rate := rapid.Float64Range(2, 300).Draw(t, "rate")
 		burst := rapid.Float64Range(2, 300).Draw(t, "burst")
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 36).Draw(t, "vms"), rate, burst)
+		f.withBranches(rapid.IntRange(0, 6).Draw(t, "branches"))
 		f.loss = rapid.Float64Range(0, 0.2).Draw(t, "loss")
 		for range 4 {
 			f.play(time.Second, rate*rapid.Float64Range(0.2, 8).Draw(t, "load"))
@@ -183,13 +237,23 @@
 		rate, burst float64
 		vms         int
 		load        float64
+		branches    int
 	}{
-		{20, 20, 36, 0.62}, {60, 60, 36, 0.62}, {200, 200, 36, 0.8}, {60, 60, 2, 0.8}, {60, 60, 36, 0.9},
+		{20, 20, 36, 0.62, 0},
+		{60, 60, 36, 0.62, 0},
+		{200, 200, 36, 0.8, 0},
+		{60, 60, 2, 0.8, 0},
+		{60, 60, 36, 0.9, 0},
+		{20, 20, 36, 0.62, 6},
+		{60, 60, 36, 0.62, 6},
+		{200, 200, 36, 0.8, 6},
+		{60, 60, 12, 0.9, 6},
+		{500, 250, 120, 0.8, 9},
 	} {
-		t.Run(fmt.Sprintf("%.0f %d %.2f", c.rate, c.vms, c.load), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%.0f %d %.2f %d", c.rate, c.vms, c.load, c.branches), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			f := newFleet(7, c.vms, c.rate, c.burst)
+			f := newFleet(7, c.vms, c.rate, c.burst).withBranches(c.branches)
 			f.play(2*time.Second, 0)
 			f.play(20*time.Second, c.rate*c.load*0.66)
 			share := float64(f.refused) / float64(f.refused+len(f.admitted))
@@ -207,13 +271,71 @@
 
 // An account at eight times its rate gets its rate.
 func TestHotAccountGetsItsRate(t *testing.T) {
+	t.Parallel()
+	for _, branches := range []int{0, 6} {
+		t.Run(fmt.Sprint(branches), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(8, 36, 50, 50).withBranches(branches)
+			f.play(10*time.Second, 400)
+			got := float64(len(f.admitted))
+			is.True(got > 0.95*(50*10))
+			is.True(got <= 50*10+50+1)
+		})
+	}
+}
+
+// The lead of a place answers most asks of a large account without asking the
+// first lead.
+func TestBranchAsksAhead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(9, 36, 400, 400).withBranches(6)
+	f.play(2*time.Second, 200)
+	f.asks = 0
+	before := len(f.admitted)
+	f.play(10*time.Second, 200)
+	t.Logf("%d admitted, %d asks", len(f.admitted)-before, f.asks)
+	is.True(f.asks < (len(f.admitted)-before)/2)
+	is.Equal(f.refused, 0)
+}
+
+// Tokens that were given ahead and not spent are inside the burst, and those
+// that were spent are outside.
+func TestSpentTokensLeaveTheBurst(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var h Holder
+	account := &ferry.Account{ID: "account", Rate: 10, Burst: 100}
+	given := h.Answer(20*time.Second, Ask{Account: "account", Waiting: 1, Ahead: 30}, account, 1)
+	is.Equal(given.Count, 31)
+	most := h.Answer(20*time.Second, Ask{Account: "account", Waiting: 200}, account, 1)
+	is.True(given.Count+most.Count <= 101)
+	var other Holder
+	given = other.Answer(20*time.Second, Ask{Account: "account", Waiting: 1, Ahead: 30}, account, 1)
+	other.Answer(20*time.Second, Ask{Account: "account", Spent: 30}, account, 1)
+	most = other.Answer(23*time.Second, Ask{Account: "account", Waiting: 200}, account, 1)
+	is.True(most.Count >= 99)
+	is.True(given.Count+most.Count <= 100+31)
+}
+
+// An ask that its VM has given up ends. The tokens that come for it are lost, as
+// the holder counts them as spent; those that were given ahead are kept.
+func TestLateClaimsEnd(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newFleet(8, 36, 50, 50)
-	f.play(10*time.Second, 400)
-	got := float64(len(f.admitted))
-	is.True(got > 0.95*(50*10))
-	is.True(got <= 50*10+50+1)
+	b := NewBranch(Ask{Account: "account"})
+	b.Claim(0, testAddress(1), Ask{Sequence: 1, Account: "account", Waiting: 2})
+	ask, isDue := b.Due(0, 1)
+	is.True(isDue)
+	is.Equal(ask.Hops, 1)
+	is.Equal(len(b.Replies(100*time.Millisecond)), 0)
+	is.Equal(len(b.Replies(200*time.Millisecond)), 0)
+	b.Receive(200*time.Millisecond, Answer{Sequence: ask.Sequence, Account: "account", Count: ask.Waiting + ask.Ahead})
+	b.Claim(200*time.Millisecond, testAddress(1), Ask{Sequence: 2, Account: "account", Waiting: ask.Ahead + 1})
+	replies := b.Replies(200 * time.Millisecond)
+	is.Equal(len(replies), 1)
+	is.Equal(replies[0].Answer, Answer{Sequence: 2, Account: "account", Count: ask.Ahead, Partial: true})
 }
 
 // A holder without a share grants nothing and says so.
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -47,6 +47,8 @@
 	Unknown bool
 	// Hops is that of the ask.
 	Hops int
+	// Partial reports that further answers to the ask follow.
+	Partial bool
 }
 
 // bucket is the allowance of one account.
--- a/grant/purse.go
+++ b/grant/purse.go
@@ -17,6 +17,9 @@
 	// aheadFor the time whose use is kept: some round trips between regions.
 	aheadWanted = 2
 	aheadFor    = 250 * time.Millisecond
+	// aheadPause is the time for which no tokens are asked for ahead after the
+	// holder had too few.
+	aheadPause = 500 * time.Millisecond
 	// paceDecay is the time in which past use loses weight by the factor e.
 	paceDecay = time.Second
 	// useFor is how long an account counts as in use.
@@ -26,8 +29,8 @@
 // Ticket is the wait for one token. Exactly one value comes over Result.
 type Ticket struct {
 	Result chan Verdict
-	// asked reports that an ask under way covers the ticket.
-	asked bool
+	// sequence is that of the ask under way for the ticket, or zero.
+	sequence uint64
 }
 
 // Verdict ends the wait for a token.
@@ -44,6 +47,7 @@
 	sequence uint64
 	sent     time.Duration
 	waiting  int
+	ahead    int
 }
 
 // Purse holds the tokens of one account on one VM. The zero Purse is ready to
@@ -59,6 +63,8 @@
 	usedAt   time.Duration
 	used     bool
 	notUntil time.Duration
+	// aheadNotUntil is the time before which no tokens are asked for ahead alone.
+	aheadNotUntil time.Duration
 	// pace is the use of late in tokens a second.
 	pace float64
 }
@@ -69,8 +75,7 @@
 	p.usedAt, p.used = now, true
 	p.drop(now)
 	if len(p.tickets) == 0 && len(p.ends) > 0 {
-		p.spent = append(p.spent, p.ends[0])
-		p.ends = p.ends[1:]
+		p.spendOne()
 		return nil
 	}
 	ticket := &Ticket{Result: make(chan Verdict, 1)}
@@ -103,7 +108,7 @@
 	p.expireAsks(now)
 	waiting := 0
 	for _, ticket := range p.tickets {
-		if !ticket.asked {
+		if ticket.sequence == 0 {
 			waiting++
 		}
 	}
@@ -111,14 +116,16 @@
 	if p.used && now-p.usedAt < useFor && len(p.open) == 0 && len(p.ends) < wanted {
 		ahead = wanted - len(p.ends)
 	}
-	isLow := 2*ahead > wanted
-	if now < p.notUntil || waiting == 0 && (!isLow || now-p.usedAt > askTimeout) {
+	isAheadDue := 2*ahead > wanted && now >= p.aheadNotUntil && now-p.usedAt <= askTimeout
+	if now < p.notUntil || waiting == 0 && !isAheadDue {
 		return Ask{}, false
 	}
 	for _, ticket := range p.tickets {
-		ticket.asked = true
+		if ticket.sequence == 0 {
+			ticket.sequence = sequence
+		}
 	}
-	p.open = append(p.open, openAsk{sequence: sequence, sent: now, waiting: waiting})
+	p.open = append(p.open, openAsk{sequence: sequence, sent: now, waiting: waiting, ahead: ahead})
 	spent := len(p.spent)
 	p.spent = nil
 	return Ask{Sequence: sequence, Account: p.Account, Waiting: waiting, Ahead: ahead, Spent: spent}, true
@@ -128,59 +135,97 @@
 // asked for again.
 func (p *Purse) expireAsks(now time.Duration) {
 	for len(p.open) > 0 && now-p.open[0].sent > askTimeout {
-		p.unask(p.open[0].waiting)
+		p.unask(p.open[0].sequence)
 		p.open = p.open[1:]
 	}
 }
 
-// unask lets the first count asked tickets be asked for again.
-func (p *Purse) unask(count int) {
+// unask lets the tickets of an ask be asked for again.
+func (p *Purse) unask(sequence uint64) {
 	for _, ticket := range p.tickets {
-		if count > 0 && ticket.asked {
-			ticket.asked = false
-			count--
+		if ticket.sequence == sequence {
+			ticket.sequence = 0
 		}
 	}
 }
 
 // Receive takes an answer in.
 func (p *Purse) Receive(now time.Duration, answer Answer) {
-	ask, isOpen := p.close(answer.Sequence)
-	waiting := ask.waiting
-	if answer.Unknown {
-		p.unask(waiting)
+	ask, isOpen := p.take(answer)
+	switch {
+	case answer.Unknown:
+		p.unask(answer.Sequence)
 		p.notUntil = now + unknownPause
 		return
-	}
-	count := answer.Count
-	for ; count > 0 && len(p.tickets) > 0; count-- {
-		p.tickets[0].Result <- Verdict{Granted: true}
-		p.tickets = p.tickets[1:]
-		waiting--
-	}
-	if !isOpen {
-		// Tokens of a late answer are not kept: their age is not known.
+	case !isOpen:
+		// The tickets were asked for again. The tokens are not kept: their age is
+		// not known.
+		p.settle(answer.Count, Verdict{Granted: true}, func(*Ticket) bool { return true })
 		return
 	}
-	for ; count > 0; count-- {
+	isOwn := func(ticket *Ticket) bool { return ticket.sequence == answer.Sequence }
+	p.settle(min(answer.Count, ask.waiting), Verdict{Granted: true}, isOwn)
+	if !answer.Partial && answer.Count < ask.waiting+ask.ahead {
+		p.aheadNotUntil = now + aheadPause
+	}
+	for range answer.Count - ask.waiting {
 		p.ends = append(p.ends, ask.sent+TokenLife)
 	}
-	if answer.RetryAfter == 0 {
-		return
+	if answer.RetryAfter > 0 {
+		p.settle(ask.waiting-answer.Count, Verdict{RetryAfter: answer.RetryAfter}, isOwn)
 	}
-	for ; waiting > 0 && len(p.tickets) > 0; waiting-- {
-		p.tickets[0].Result <- Verdict{RetryAfter: answer.RetryAfter}
-		p.tickets = p.tickets[1:]
+	p.spendKept(now)
+}
+
+// settle gives a verdict to the first count tickets of a kind. A token whose
+// ticket was given up is lost: the holder counts it as spent.
+func (p *Purse) settle(count int, verdict Verdict, isMeant func(*Ticket) bool) {
+	waiting := p.tickets[:0]
+	for _, ticket := range p.tickets {
+		if count > 0 && isMeant(ticket) {
+			ticket.Result <- verdict
+			count--
+			continue
+		}
+		waiting = append(waiting, ticket)
+	}
+	p.tickets = waiting
+}
+
+// spendKept gives kept tokens to tickets that were not asked for.
+func (p *Purse) spendKept(now time.Duration) {
+	p.drop(now)
+	waiting := p.tickets[:0]
+	for _, ticket := range p.tickets {
+		if ticket.sequence == 0 && len(p.ends) > 0 {
+			p.spendOne()
+			ticket.Result <- Verdict{Granted: true}
+			continue
+		}
+		waiting = append(waiting, ticket)
 	}
+	p.tickets = waiting
 }
 
-// close removes an open ask.
-func (p *Purse) close(sequence uint64) (open openAsk, found bool) {
+// spendOne spends the oldest kept token.
+func (p *Purse) spendOne() {
+	p.spent = append(p.spent, p.ends[0])
+	p.ends = p.ends[1:]
+}
+
+// take returns the open ask that an answer belongs to, and ends it with its last
+// answer.
+func (p *Purse) take(answer Answer) (open openAsk, found bool) {
 	for i, ask := range p.open {
-		if ask.sequence == sequence {
+		if ask.sequence != answer.Sequence {
+			continue
+		}
+		if answer.Partial {
+			p.open[i].waiting -= min(ask.waiting, answer.Count)
+		} else {
 			p.open = append(p.open[:i], p.open[i+1:]...)
-			return ask, true
 		}
+		return ask, true
 	}
 	return openAsk{}, false
 }
--- a/lead/codec.go
+++ b/lead/codec.go
@@ -113,7 +113,7 @@
 func encodeVM(vm VM) *leadpb.VM {
 	return &leadpb.VM{
 		Peers: encodeAddress(vm.Peers), Incarnation: vm.Incarnation, Place: string(vm.Place), Callers: encodeAddress(vm.Callers),
-		ControlPort: uint32(vm.ControlPort), Ready: vm.Ready, Leaving: vm.Leaving, Edition: vm.Edition, Power: vm.Power,
+		ControlPort: uint32(vm.ControlPort), Ready: vm.Ready, Leaving: vm.Leaving, Edition: vm.Edition, Power: vm.Power, Seasoned: vm.Seasoned,
 	}
 }
 
@@ -132,7 +132,7 @@
 	return VM{
 		Peers: peers, Incarnation: message.GetIncarnation(), Place: ferry.PlaceID(message.GetPlace()), Callers: callers,
 		ControlPort: uint16(message.GetControlPort()), Ready: message.GetReady(), Leaving: message.GetLeaving(), Edition: message.GetEdition(),
-		Power: message.GetPower(),
+		Power: message.GetPower(), Seasoned: message.GetSeasoned(),
 	}, nil
 }
 
--- a/lead/controller.go
+++ b/lead/controller.go
@@ -29,6 +29,9 @@
 	seedBeat = 2 * time.Second
 	// joinBeat is the gap between beats while no other VM is known.
 	joinBeat = 200 * time.Millisecond
+	// unansweredAfter is the wait for a pulse after which a loan is not renewed:
+	// more than a beat of the lead of a place.
+	unansweredAfter = 450 * time.Millisecond
 	// silentAfter is the wait for a pulse after which a lead is given up.
 	silentAfter = 1100 * time.Millisecond
 	// silentFor is how long a silent VM is not chosen as lead.
@@ -54,7 +57,7 @@
 	settleAfter  = peakKept
 	// LendTerm is the time for which a beat lends the sender's share to the lead
 	// of its place. It holds a relendTerm, two beats and a lost one.
-	LendTerm = 3 * time.Second
+	LendTerm = 2500 * time.Millisecond
 	// relendTerm is the time for which the lead of a place lends to the first
 	// lead of the fleet: three beats and a round trip.
 	relendTerm = 1200 * time.Millisecond
@@ -100,18 +103,21 @@
 	// leadsPlace reports that this VM leads its place, since leadsPlaceAt.
 	leadsPlace   bool
 	leadsPlaceAt time.Duration
+	// leadsFleetAt is when this VM became the first lead of the fleet.
+	leadsFleetAt time.Duration
 	// viewRoster and members list the view and the VMs that this one leads.
 	viewRoster roster
 	members    roster
+	// viewDue reports that the followers should hear of the view at once.
+	viewDue bool
 	// isDirty reports that the view has to be made anew.
-	isDirty   bool
-	firstSeen map[netip.AddrPort]sighting
-	view      []VM
-	sequence  uint64
-	nextSeed  int
-	seedAt    time.Duration
-	peaks     peaks
-	copying   time.Duration
+	isDirty  bool
+	view     []VM
+	sequence uint64
+	nextSeed int
+	seedAt   time.Duration
+	peaks    peaks
+	copying  time.Duration
 
 	lent loan
 
@@ -126,8 +132,8 @@
 	own     reporter
 	pending map[ferry.TargetID]float64
 	urgent  bool
-	// pushDue holds the regions whose VMs should hear of evidence, and pushAt the
-	// steady time of the next push.
+	// pushDue holds the regions whose VMs should hear of evidence at once, and
+	// pushAt the steady time of the next push.
 	pushDue map[ferry.RegionID]bool
 	pushAt  time.Duration
 	actions []Action
@@ -139,10 +145,10 @@
 		self: self, started: now.Steady, options: options, catalog: catalog,
 		links: map[netip.AddrPort]*link{}, known: map[netip.AddrPort]time.Duration{},
 		pending: map[ferry.TargetID]float64{}, sequence: self.Incarnation,
-		firstSeen: map[netip.AddrPort]sighting{}, pushDue: map[ferry.RegionID]bool{}, isSettled: options.IsFirst,
+		pushDue: map[ferry.RegionID]bool{}, isSettled: options.IsFirst,
 	}
 	c.setSeeds(seeds)
-	c.view, c.isDirty = []VM{c.self}, true
+	c.view, c.isDirty, c.leadsFleetAt = []VM{c.self}, true, now.Steady
 	return c
 }
 
@@ -187,11 +193,12 @@
 		c.updateView(now)
 		c.chooseLeads(now)
 	}
+	c.season(now)
 	c.beat(now)
 	c.startRead(now)
 	c.nameReader(now)
 	c.pool.decay(now.Steady)
-	c.pushEvidence(now)
+	c.pushChanges(now)
 	if c.finality != 0 && now.Steady >= c.finality {
 		c.emit(RecordsChanged{})
 	}
--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -33,6 +33,10 @@
 		c.isDirty = true
 	}
 	if exchange.Sequence <= l.heard {
+		if exchange.Beat && exchange.Sequence < l.heard {
+			// Evidence counts although a later message came first.
+			c.takeEvidence(now, l, exchange)
+		}
 		return
 	}
 	l.heard = exchange.Sequence
@@ -101,8 +105,7 @@
 		c.isDirty = true
 	}
 	c.takeLoan(l, exchange, sent, isEcho)
-	c.poolEvidence(now, l.vm.Place, exchange.Evidence)
-	c.passUp(exchange.Evidence)
+	c.takeEvidence(now, l, exchange)
 	if c.isDirty {
 		// The answer names a VM that has just come.
 		c.updateView(now)
@@ -115,19 +118,28 @@
 	}
 }
 
-// pushEvidence tells the followers of the regions from which a new suspect
-// came. Others hear of it with their next beat.
-func (c *Controller) pushEvidence(now ferry.Moment) {
-	if len(c.pushDue) == 0 || now.Steady < c.pushAt {
+// takeEvidence takes the evidence of a VM that this one leads.
+func (c *Controller) takeEvidence(now ferry.Moment, l *link, exchange Exchange) {
+	c.poolEvidence(now, l.vm.Place, exchange.Evidence)
+	c.passUp(exchange.Evidence)
+}
+
+// pushChanges tells the followers at once of VMs that callers should no longer
+// use, and those of the regions from which a new suspect came of that. They hear
+// of other changes with their next beats.
+func (c *Controller) pushChanges(now ferry.Moment) {
+	if !c.viewDue && len(c.pushDue) == 0 || now.Steady < c.pushAt {
 		return
 	}
 	c.pushAt = now.Steady + c.urgentGap()
 	for address, l := range c.links {
-		isNear := c.pushDue[c.options.Regions[l.vm.Place]]
-		if isNear && l.evidenceHas != c.pool.version && l.isFollower(now.Steady) {
+		lacksView := c.viewDue && l.viewHas != c.viewRoster.version
+		lacksEvidence := c.pushDue[c.options.Regions[l.vm.Place]] && l.evidenceHas != c.pool.version
+		if (lacksView || lacksEvidence) && l.isFollower(now.Steady) {
 			c.send(now, address, l, false)
 		}
 	}
+	c.viewDue = false
 	clear(c.pushDue)
 }
 
@@ -138,11 +150,11 @@
 
 // needsReply reports whether a beat has to be answered now.
 func (c *Controller) needsReply(now ferry.Moment, l *link) bool {
-	if l.revision < c.records.Revision() || l.viewHas != c.viewRoster.version || l.members.version != l.toldMembers || len(l.sent) == 0 {
+	if l.revision < c.records.Revision() || l.viewHas != c.viewRoster.version || l.members.version != l.toldMembers {
 		return true
 	}
-	since := now.Since(l.sent[len(l.sent)-1].at)
-	return since > replyGap || l.evidenceHas != c.pool.version && since >= c.urgentGap()
+	since := now.Steady - l.toldAt
+	return l.toldAt == 0 || since > replyGap || l.evidenceHas != c.pool.version && since >= c.urgentGap()
 }
 
 // receivePulse handles the part of a follower.
@@ -223,7 +235,7 @@
 // fillPulse adds what only followers get.
 func (c *Controller) fillPulse(now ferry.Moment, l *link, exchange *Exchange) {
 	exchange.ListHas = l.members.version
-	l.toldMembers = l.members.version
+	l.toldAt, l.toldMembers = now.Steady, l.members.version
 	exchange.List = c.viewRoster.since(l.viewHas)
 	exchange.Reader = c.read.reader
 	exchange.Returns = c.giveBack(now)
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -452,3 +452,122 @@
 		}
 	})
 }
+
+// The work of a lead follows the size of its place and the number of places,
+// not the fleet.
+func TestFollowersOfOneVM(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(13, 120)
+	w.startAll()
+	w.run(8*time.Second, nil)
+	places, most := 6, 0
+	for _, vm := range w.vms {
+		is.Equal(len(vm.c.View()), len(w.vms))
+		most = max(most, len(vm.c.followers(w.moment(vm).Steady)))
+	}
+	is.True(most <= len(w.vms)/places+places)
+}
+
+// Stronger VMs lead.
+func TestStrongerVMsLead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(14, 36)
+	w.power = func(i int) uint32 {
+		if i >= 30 {
+			return 800
+		}
+		return 160
+	}
+	w.startAll()
+	w.run(8*time.Second, nil)
+	is.True(w.first() >= 30)
+	for i, vm := range w.vms {
+		is.Equal(vm.c.LeadsPlace(), i >= 30)
+	}
+}
+
+// A killed VM leaves the view of every other one within 4 s, whether it led or
+// not, and a VM that comes is known within 2 s.
+func TestViewFollowsLossAndStart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for seed := range uint64(4) {
+		w := newWorld(seed, 36)
+		w.startAll()
+		w.run(8*time.Second, nil)
+		lost := []int{w.first(), w.placeLead(), 0, 35}[seed]
+		w.kill(lost)
+		w.run(w.now+4*time.Second, nil)
+		for i, vm := range w.vms {
+			if i != lost {
+				is.Equal(len(vm.c.View()), 35)
+			}
+		}
+		w.start(lost)
+		w.run(w.now+2*time.Second, nil)
+		for _, vm := range w.vms {
+			is.Equal(len(vm.c.View()), 36)
+		}
+	}
+}
+
+// A lead that leaves gives back what it holds, so that the shares are held by
+// the next one within 1.5 s.
+func TestLeavingLeadGivesBack(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for seed := range uint64(4) {
+		w := newWorld(seed, 36)
+		w.startAll()
+		w.run(8*time.Second, nil)
+		leaving := w.first()
+		if seed%2 == 1 {
+			leaving = w.placeLead()
+		}
+		w.step(leaving, Stated{Leaving: true})
+		worst := 0.0
+		for range 30 {
+			w.run(w.now+100*time.Millisecond, nil)
+			if err := checkShares(w); err != nil {
+				t.Fatal(err)
+			}
+			held := 0.0
+			for _, vm := range w.vms {
+				held += vm.c.HeldShare(w.moment(vm))
+			}
+			worst = max(worst, held)
+			if held > 0.95 {
+				break
+			}
+		}
+		t.Logf("seed %d: %.2f are held after the change", seed, worst)
+		is.True(worst > 0.95)
+	}
+}
+
+// A first lead that the store turns away relies on a VM that reads, and few
+// others read.
+func TestLeadThatCannotReadNamesReader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(15, 36)
+	w.startAll()
+	w.run(8*time.Second, nil)
+	for i := range w.vms {
+		w.vms[i].storeless = i%3 == w.first()%3
+	}
+	w.run(w.now+3*time.Second, nil)
+	w.calls = 0
+	w.run(w.now+10*time.Second, func() {
+		for _, vm := range w.vms {
+			proof, _ := vm.c.Proof()
+			if age := w.moment(vm).LongestSince(proof); age > 2500*time.Millisecond {
+				t.Fatalf("a proof is %v old", age)
+			}
+		}
+	})
+	t.Logf("%d calls", w.calls)
+	is.True(w.calls <= 60)
+}
--- a/lead/lend.go
+++ b/lead/lend.go
@@ -13,14 +13,19 @@
 	// the loan is renewed: the lead may still count by an earlier message.
 	share float64
 	until ferry.Moment
+	// relentUntil is the moment until which it holds shares of other VMs.
+	relentUntil ferry.Moment
 	// sequence is that of the last message that lent.
 	sequence uint64
 }
 
 // isOver reports whether the loan has ended. The lender counts by the clock
 // that ran less.
-func (l loan) isOver(now ferry.Moment) bool {
-	return now.Steady >= l.until.Steady && now.Wall >= l.until.Wall
+func (l loan) isOver(now ferry.Moment) bool { return hasPassed(now, l.until) }
+
+// hasPassed reports whether both clocks have reached a moment.
+func hasPassed(now, moment ferry.Moment) bool {
+	return now.Steady >= moment.Steady && now.Wall >= moment.Wall
 }
 
 // HeldShare returns the share of every allowance that this VM may grant at
@@ -71,7 +76,7 @@
 // left out.
 func (c *Controller) lend(now ferry.Moment, to netip.AddrPort, l *link, exchange *Exchange) {
 	isOver := c.lent.isOver(now)
-	if c.self.Leaving || !l.answers(now.Steady) || !isOver && c.lent.to != to {
+	if !l.answers(now.Steady) || !isOver && c.lent.to != to {
 		// A share is lent only to a lead that has counted this VM.
 		return
 	}
@@ -79,22 +84,27 @@
 	if c.leadsPlace {
 		term = relendTerm
 	}
-	share := c.ownShare(now)
+	relent := 0.0
 	for _, other := range c.links {
-		if other.isLentAt(now.Add(term)) {
-			share += other.share
+		// A VM that leaves gives back instead.
+		if !c.self.Leaving && other.isLentAt(now.Add(term)) {
+			relent += other.share
 		}
 	}
-	exchange.Lent = min(1, share)
+	exchange.Lent = min(1, c.ownShare(now)+relent)
 	if isOver {
 		c.lent.share = 0
-	} else if l.isUnanswered() {
+	} else if l.isUnanswered(now.Steady) {
 		// The loan of a lead that may be lost is not renewed, so that its end is
 		// near when the next lead is chosen.
 		return
 	}
 	exchange.LendTerm = term
-	c.lent = loan{to: to, share: max(c.lent.share, exchange.Lent), until: now.Add(term), sequence: exchange.Sequence}
+	c.lent.to, c.lent.until, c.lent.sequence = to, now.Add(term), exchange.Sequence
+	c.lent.share = max(c.lent.share, exchange.Lent)
+	if relent > 0 {
+		c.lent.relentUntil = c.lent.until
+	}
 }
 
 // takeLoan takes the loan of a beat. sent is the moment of the message that
@@ -111,7 +121,7 @@
 // giveBack drops what was lent to a VM that leaves, as soon as what it lent on
 // has ended. It reports whether nothing is held any more.
 func (c *Controller) giveBack(now ferry.Moment) bool {
-	if !c.self.Leaving || !c.lent.isOver(now) {
+	if !c.self.Leaving || !hasPassed(now, c.lent.relentUntil) {
 		return false
 	}
 	for _, l := range c.links {
--- a/lead/link.go
+++ b/lead/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"maps"
 	"net/netip"
 	"time"
 
@@ -53,7 +52,9 @@
 	viewHas     uint64
 	membersHas  uint64
 	evidenceHas uint64
-	// toldMembers is the version of the VM's members that it was told to be here.
+	// toldAt is the steady time of the last pulse to the VM, and toldMembers the
+	// version of its members that this pulse confirmed.
+	toldAt      time.Duration
 	toldMembers uint64
 
 	// list are the VMs that the VM knows, from its pulses.
@@ -94,22 +95,16 @@
 	return l.beatAt != 0 && now-l.beatAt < followerTimeout
 }
 
-// isUnanswered reports whether the last beat to the VM got no pulse.
-func (l *link) isUnanswered() bool { return l.askedAt != 0 }
+// isUnanswered reports whether beats to the VM got no pulse for a while.
+func (l *link) isUnanswered(now time.Duration) bool {
+	return l.askedAt != 0 && now-l.askedAt > unansweredAfter
+}
 
 // answers reports whether the VM answered as a lead a short while ago.
 func (l *link) answers(now time.Duration) bool {
 	return l.pulseAt != 0 && now-l.pulseAt < listTimeout
 }
 
-// told returns the VMs that the VM knows, by its last pulses.
-func (l *link) told(now time.Duration) iter.Seq[VM] {
-	if !l.list.isFresh(now) {
-		return maps.Values[map[netip.AddrPort]VM](nil)
-	}
-	return maps.Values(l.list.vms)
-}
-
 // seen returns the VM itself if it was heard a short while ago, and the VMs that
 // it leads.
 func (l *link) seen(now time.Duration) iter.Seq[VM] {
--- a/lead/message.go
+++ b/lead/message.go
@@ -23,8 +23,11 @@
 	Ready bool
 	// Leaving reports that the VM is about to stop.
 	Leaving bool
-	// Edition counts the changes of Ready and Leaving in this incarnation, so
-	// that the later of two records is known.
+	// Seasoned reports that the process has run for some time and its lead is
+	// seasoned, so that it knows the fleet. Others lead only where none is.
+	Seasoned bool
+	// Edition counts the changes of Ready, Leaving and Seasoned in this
+	// incarnation, so that the later of two records is known.
 	Edition uint32
 }
 
--- a/lead/pool.go
+++ b/lead/pool.go
@@ -22,15 +22,18 @@
 	// suspectAt is the log odds from which placing avoids a target: a chance of
 	// one in ten of a bad spell. VMs hear of it at once.
 	suspectAt = -2.2
+	// pushStep is the change of a suspect's log odds of which VMs hear at once.
+	pushStep = 1.0
 	// negligible is the distance from the prior at which evidence is forgotten.
 	negligible = 0.05
 )
 
-// pooledOdds are the log odds of one target, and the version that brought
-// them.
+// pooledOdds are the log odds of one target, the version that brought them, and
+// the log odds that were pushed last.
 type pooledOdds struct {
 	odds    float64
 	version uint64
+	pushed  float64
 }
 
 const (
@@ -79,8 +82,7 @@
 	version uint64
 }
 
-// add adds changes and reports whether a target became suspect or ceased to
-// be.
+// add adds changes and reports whether VMs should hear of them at once.
 func (p *Pool) add(now time.Duration, evidence []Evidence) bool {
 	p.decay(now)
 	crossed := false
@@ -91,8 +93,8 @@
 	return crossed
 }
 
-// take takes what a lead pooled over and reports whether a target became
-// suspect or ceased to be.
+// take takes what a lead pooled over and reports whether VMs should
+// hear of that at once.
 func (p *Pool) take(now time.Duration, evidence []Evidence) bool {
 	p.decay(now)
 	crossed := false
@@ -102,16 +104,25 @@
 	return crossed
 }
 
-// change sets the log odds of a target and reports whether it became suspect or
-// ceased to be.
+// change sets the log odds of a target and reports whether VMs should hear of
+// that at once: it became suspect, ceased to be, or changed much.
 func (p *Pool) change(target ferry.TargetID, after float64) bool {
-	before, version := p.of(target), p.entries[target].version
-	if max(before, after) > evidenceSent && before != after {
+	known, found := p.entries[target]
+	if !found {
+		known = pooledOdds{odds: PriorLogOdds, pushed: PriorLogOdds}
+	}
+	if max(known.odds, after) > evidenceSent && known.odds != after {
 		p.version++
-		version = p.version
+		known.version = p.version
+	}
+	hasCrossed := (known.odds < suspectAt) != (after < suspectAt)
+	hasMoved := after >= suspectAt && math.Abs(after-known.pushed) >= pushStep
+	if hasCrossed || hasMoved {
+		known.pushed = after
 	}
-	p.set(target, after, version)
-	return (before < suspectAt) != (after < suspectAt)
+	known.odds = after
+	p.set(target, known)
+	return hasCrossed || hasMoved
 }
 
 func (p *Pool) of(target ferry.TargetID) float64 {
@@ -121,11 +132,11 @@
 	return PriorLogOdds
 }
 
-func (p *Pool) set(target ferry.TargetID, odds float64, version uint64) {
+func (p *Pool) set(target ferry.TargetID, known pooledOdds) {
 	if p.entries == nil {
 		p.entries = map[ferry.TargetID]pooledOdds{}
 	}
-	p.entries[target] = pooledOdds{odds: odds, version: version}
+	p.entries[target] = known
 }
 
 // decay moves all log odds towards the prior.
--- a/lead/view.go
+++ b/lead/view.go
@@ -51,40 +51,61 @@
 	return list
 }
 
-// sighting is when a process was first seen, and the order of its VM.
-type sighting struct {
-	incarnation uint64
-	at          time.Duration
-	rank        uint64
-}
-
-// sight returns when a process was first seen.
-func (c *Controller) sight(now time.Duration, vm VM) sighting {
-	seen, found := c.firstSeen[vm.Peers]
-	if !found || seen.incarnation != vm.Incarnation {
-		seen = sighting{incarnation: vm.Incarnation, at: now, rank: rank(vm.Peers)}
-		c.firstSeen[vm.Peers] = seen
-	}
-	return seen
+// tellers returns the VMs whose lists count here: the first lead, or while its
+// list is old the VM with the newest one. Lists of VMs that listen to each other
+// would keep a VM that is gone, so the first lead of the fleet listens only to
+// VMs that do not follow it, as those of another fleet that it has to join, and
+// for some time after it became that to all.
+func (c *Controller) tellers(now time.Duration) []*link {
+	lead, isSelf := c.Lead()
+	if l := c.links[lead]; !isSelf && l != nil && l.list.isFresh(now) {
+		return []*link{l}
+	}
+	var fresh []*link
+	var newest *link
+	for _, l := range c.links {
+		if !l.list.isFresh(now) {
+			continue
+		}
+		if newest == nil || l.list.at > newest.list.at {
+			newest = l
+		}
+		if !l.isFollower(now) || now-c.leadsFleetAt < listTimeout {
+			fresh = append(fresh, l)
+		}
+	}
+	if !isSelf && newest != nil {
+		return []*link{newest}
+	}
+	return fresh
 }
 
-// updateView joins what the leads list with the VMs that beat to this one and
+// updateView joins what a lead lists with the VMs that beat to this one and
 // those that they lead.
 func (c *Controller) updateView(now ferry.Moment) {
 	joined := map[netip.AddrPort]VM{c.self.Peers: c.self}
 	knowsPlace := c.leadsPlace && now.Steady-c.leadsPlaceAt > listTimeout
-	for _, l := range c.links {
-		for vm := range l.told(now.Steady) {
-			// The lead of a place knows its VMs at first hand. The lists of others
-			// may hold what it told them before.
+	for _, teller := range c.tellers(now.Steady) {
+		for _, vm := range teller.list.vms {
+			// The lead of a place knows its VMs at first hand. Others may repeat what
+			// it told them before.
 			if !knowsPlace || vm.Place != c.self.Place {
 				addNewer(joined, vm)
 			}
 		}
+	}
+	for _, l := range c.links {
 		for vm := range l.seen(now.Steady) {
 			addNewer(joined, vm)
 		}
 	}
+	for address, l := range c.links {
+		// Of a lead that does not answer this VM, others may not know yet.
+		isSilent := now.Steady < l.silentUntil && !l.isFollower(now.Steady)
+		if isSilent && joined[address].Incarnation == l.vm.Incarnation {
+			delete(joined, address)
+		}
+	}
 	joined[c.self.Peers] = c.self
 	view := make([]VM, 0, len(joined))
 	for _, vm := range joined {
@@ -94,17 +115,29 @@
 	slices.SortFunc(view, func(a, b VM) int { return a.Peers.Compare(b.Peers) })
 	c.forgetKnown(now.Steady)
 	c.peaks.add(now.Steady, len(view))
-	if c.members.update(c.followers(now.Steady)) && c.leadsPlace {
+	if c.members.update(c.followers(now.Steady)) {
 		c.urgent = true
 	}
 	if slices.Equal(view, c.view) && c.viewRoster.version > 0 {
 		return
 	}
+	c.viewDue = c.viewDue || serving(view) < serving(c.view)
 	c.view = view
 	c.viewRoster.update(view)
 	c.emit(ViewChanged{})
 }
 
+// serving returns the number of VMs that callers may use.
+func serving(view []VM) int {
+	count := 0
+	for _, vm := range view {
+		if vm.Ready && !vm.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // addNewer keeps the later record of a VM.
 func addNewer(joined map[netip.AddrPort]VM, vm VM) {
 	if known, found := joined[vm.Peers]; !found || vm.isNewer(known) {
@@ -118,7 +151,6 @@
 		if now-at > knownKept {
 			delete(c.known, address)
 			delete(c.links, address)
-			delete(c.firstSeen, address)
 		}
 	}
 }
@@ -132,58 +164,62 @@
 	return xxhash.Sum64(key[:])
 }
 
-// candidate is a VM that may lead.
-type candidate struct {
-	vm VM
-	sighting
-	// isYoung reports that the process was first seen a short while ago. Young
-	// processes are not preferred as leads: they know nothing yet.
-	isYoung bool
-}
-
-// compareCandidates orders VMs by age, power and rank.
-func compareCandidates(a, b candidate) int {
+// compareCandidates orders VMs by what they know, their power and rank.
+func compareCandidates(a, b VM) int {
 	switch {
-	case a.isYoung && !b.isYoung:
-		return 1
-	case b.isYoung && !a.isYoung:
+	case a.Seasoned && !b.Seasoned:
 		return -1
-	case a.vm.Power != b.vm.Power:
-		return cmp.Compare(b.vm.Power, a.vm.Power)
+	case b.Seasoned && !a.Seasoned:
+		return 1
+	case a.Power != b.Power:
+		return cmp.Compare(b.Power, a.Power)
 	}
-	return cmp.Compare(a.rank, b.rank)
+	return cmp.Compare(rank(a.Peers), rank(b.Peers))
 }
 
 // candidates returns the VMs of the view that may lead, the best first.
-func (c *Controller) candidates(now ferry.Moment) []candidate {
-	list := make([]candidate, 0, len(c.view))
+func (c *Controller) candidates(now ferry.Moment) []VM {
+	list := make([]VM, 0, len(c.view))
 	for _, vm := range c.view {
 		l := c.links[vm.Peers]
 		if l != nil && l.askedAt != 0 && now.Steady-l.askedAt > silentAfter {
 			l.silentUntil, l.askedAt = now.Steady+silentFor, 0
 			l.lentUntil, l.share = ferry.Moment{}, 0
 		}
-		seen := c.sight(now.Steady, vm)
-		if vm.Leaving || (l != nil && now.Steady < l.silentUntil) {
-			continue
+		if !vm.Leaving && (l == nil || now.Steady >= l.silentUntil) {
+			list = append(list, vm)
 		}
-		list = append(list, candidate{vm: vm, sighting: seen, isYoung: now.Steady-seen.at < youngFor})
 	}
 	slices.SortFunc(list, compareCandidates)
 	return list
 }
 
+// season lets this VM be preferred as a lead. The VMs of a fleet that starts as
+// a whole get there from the first lead down, so that the leads stay.
+func (c *Controller) season(now ferry.Moment) {
+	if c.self.Seasoned || now.Steady-c.started < youngFor {
+		return
+	}
+	lead, isSelf := c.Lead()
+	if l := c.links[lead]; !isSelf && (l == nil || !l.vm.Seasoned) {
+		return
+	}
+	c.self.Seasoned = true
+	c.self.Edition++
+	c.urgent, c.isDirty = true, true
+}
+
 // chooseLeads takes the first VMs of the place as leads, or, on the first VM of
 // a place, the first ones of the fleet.
 func (c *Controller) chooseLeads(now ferry.Moment) {
 	list := c.candidates(now)
-	near := make([]candidate, 0, len(list))
-	for _, known := range list {
-		if known.vm.Place == c.self.Place {
-			near = append(near, known)
+	near := make([]VM, 0, len(list))
+	for _, vm := range list {
+		if vm.Place == c.self.Place {
+			near = append(near, vm)
 		}
 	}
-	leadsPlace := len(near) == 0 || near[0].vm.Peers == c.self.Peers
+	leadsPlace := len(near) == 0 || near[0].Peers == c.self.Peers
 	if leadsPlace && !c.leadsPlace {
 		c.leadsPlaceAt = now.Steady
 	}
@@ -192,13 +228,25 @@
 		list = near
 	}
 	before, _ := c.Lead()
+	former := slices.Clone(c.leads)
 	c.leads = c.leads[:0]
-	for _, known := range list[:min(leadCount, len(list))] {
-		c.leads = append(c.leads, known.vm.Peers)
+	for _, vm := range list[:min(leadCount, len(list))] {
+		c.leads = append(c.leads, vm.Peers)
+	}
+	for _, address := range former {
+		if l := c.links[address]; l != nil && !slices.Contains(c.leads, address) {
+			// No further beat would get the answer that a former lead owes.
+			l.askedAt = 0
+		}
+	}
+	after, isSelf := c.Lead()
+	if after == before {
+		return
 	}
-	if after, _ := c.Lead(); after != before {
-		c.emit(Followed{Lead: after})
+	if isSelf {
+		c.leadsFleetAt = now.Steady
 	}
+	c.emit(Followed{Lead: after})
 }
 
 // beat sends the beats that are due.
--- a/lead/world_test.go
+++ b/lead/world_test.go
@@ -65,6 +65,8 @@
 	sent    int
 	bytes   int
 	boots   uint64
+	// power tells the power of each VM, if it is set.
+	power func(vm int) uint32
 	// perVM counts the bytes that each VM sent, when it is set.
 	perVM []int
 }
@@ -134,6 +136,9 @@
 		Peers: vm.address, Incarnation: 1_000_000 + w.boots*1_000, Place: ferry.PlaceID(fmt.Sprint("place", i%6)),
 		Callers: netip.AddrPortFrom(vm.address.Addr(), 80), ControlPort: 8000,
 	}
+	if w.power != nil {
+		self.Power = w.power(i)
+	}
 	vm.alive, vm.inbox, vm.frozenUntil = true, nil, 0
 	if w.now > 0 {
 		vm.restarts = append(vm.restarts, w.now)
--- a/node/tokens.go
+++ b/node/tokens.go
@@ -158,7 +158,7 @@
 func encodeAnswer(answer grant.Answer) *leadpb.Datagram {
 	return &leadpb.Datagram{Body: &leadpb.Datagram_Grant{Grant: &leadpb.Grant{
 		Sequence: answer.Sequence, Account: string(answer.Account), Count: uint32(answer.Count),
-		RetryAfter: uint32(answer.RetryAfter.Milliseconds()), Unknown: answer.Unknown, Hops: uint32(answer.Hops),
+		RetryAfter: uint32(answer.RetryAfter.Milliseconds()), Unknown: answer.Unknown, Hops: uint32(answer.Hops), Partial: answer.Partial,
 	}}}
 }
 
@@ -166,6 +166,6 @@
 	return grant.Answer{
 		Sequence: message.GetSequence(), Account: ferry.AccountID(message.GetAccount()), Count: int(message.GetCount()),
 		RetryAfter: time.Duration(message.GetRetryAfter()) * time.Millisecond, Unknown: message.GetUnknown(),
-		Hops: int(message.GetHops()),
+		Hops: int(message.GetHops()), Partial: message.GetPartial(),
 	}
 }
