place: avoid no more of a service than the operators' floor allows

Cause: up to half of a service was avoided, a constant of our own. Ruled out: more frequent trials of suspects; they would risk a third of the safe requests of a place.

--- a/conf/node.go
+++ b/conf/node.go
@@ -54,6 +54,9 @@
 	// RetrySlack is the most further repeats of the whole fleet in RetryWindow.
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Floor is the part of each service that stays in use whatever its targets
+	// show, from 0 to 1.
+	Floor float64
 }
 
 // Defaults of Bounds.
@@ -78,5 +81,6 @@
 	b.RetryShare = cmp.Or(b.RetryShare, DefaultRetryShare)
 	b.RetrySlack = cmp.Or(b.RetrySlack, DefaultRetrySlack)
 	b.RetryWindow = cmp.Or(b.RetryWindow, DefaultRetryWindow)
+	b.Floor = cmp.Or(b.Floor, ferry.DefaultFloor)
 	return b
 }
--- a/node/loop.go
+++ b/node/loop.go
@@ -86,6 +86,7 @@
 func (n *Node) takeSettings(ctx context.Context, settings conf.Node) {
 	bounds := settings.Bounds
 	n.state.bounds.Store(&bounds)
+	n.chooser.SetFloor(bounds.Floor)
 	n.log.Info("settings reloaded", "seeds", len(settings.Seeds))
 	n.step(ctx, lead.Seeded{Seeds: settings.Seeds})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -113,6 +113,7 @@
 	}
 	bounds := settings.Bounds
 	n.state.bounds.Store(&bounds)
+	n.chooser.SetFloor(bounds.Floor)
 	n.budgets.SetBounds(bounds.RetryShare, bounds.RetrySlack, 1)
 	n.allowance = &allowance{clock: parts.Clock, send: n.sendAsk, purses: map[ferry.AccountID]*grant.Purse{}}
 	counters := relay.NewMetrics(n.metrics)
--- a/place/chooser.go
+++ b/place/chooser.go
@@ -103,6 +103,8 @@
 	states  map[ferry.TargetID]*state
 	// peers is the number of VMs that serve in the own place.
 	peers atomic.Int32
+	// floorBits hold the part of each service that stays in full use.
+	floorBits atomic.Uint64
 }
 
 // NewChooser returns the chooser of a VM at the place.
@@ -151,6 +153,16 @@
 // SetPeers states how many VMs serve in the own place.
 func (c *Chooser) SetPeers(vms int) { c.peers.Store(int32(vms)) }
 
+// SetFloor states the part of each service that stays in full use, from 0 to 1.
+func (c *Chooser) SetFloor(floor float64) { c.floorBits.Store(math.Float64bits(floor)) }
+
+func (c *Chooser) floor() float64 {
+	if floor := math.Float64frombits(c.floorBits.Load()); floor > 0 {
+		return floor
+	}
+	return ferry.DefaultFloor
+}
+
 // isSame reports whether two entries describe one process.
 func isSame(a, b ferry.Target) bool {
 	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Service == b.Service && a.Slots == b.Slots && a.Place == b.Place
@@ -194,7 +206,7 @@
 	if s == nil {
 		return Pick{}, false
 	}
-	cut := s.cutNow(now)
+	cut := s.cutNow(now, c.floor())
 	work := time.Duration(math.Float64frombits(s.work.Load()) * float64(time.Second))
 	usual := math.Float64frombits(s.usual.Load())
 	least := time.Duration(math.MaxInt64)
@@ -225,7 +237,7 @@
 }
 
 // cutNow returns the log odds above which targets of the service are avoided.
-func (s *service) cutNow(now time.Duration) float64 {
+func (s *service) cutNow(now time.Duration, floor float64) float64 {
 	if at := time.Duration(s.cutAt.Load()); at != 0 && now-at < cutEvery {
 		return math.Float64frombits(s.cut.Load())
 	}
@@ -233,7 +245,7 @@
 	for _, known := range s.states {
 		odds = append(odds, known.logOdds(now))
 	}
-	cut := Cut(odds)
+	cut := Cut(odds, floor)
 	s.cut.Store(math.Float64bits(cut))
 	s.cutAt.Store(int64(max(1, now)))
 	return cut
--- a/place/floor.go
+++ b/place/floor.go
@@ -10,8 +10,6 @@
 const (
 	// soundOdds are log odds that cost nothing in placing.
 	soundOdds = -3.0
-	// mostAvoided is the largest part of a service that is avoided at a time.
-	mostAvoided = 0.5
 	// trialEvery is the time between two trials of a suspect target by the VMs
 	// of its place together: shorter than the two seconds after which the users
 	// count a target as out of use.
@@ -28,17 +26,17 @@
 }
 
 // Cut returns the log odds above which targets of a service are avoided: the
-// worst ones, and mostAvoided of them at most. The others cost nothing more,
-// however suspect they are. Avoided targets stay in use through trials.
+// worst ones, while floor of them stay. Those cost nothing more, however suspect
+// they are. Avoided targets stay in use through trials.
 //
 // The load that this answers: evidence against many targets at once, from a VM
 // with bad paths or from a service that is slow as a whole.
-func Cut(odds []float64) float64 {
+func Cut(odds []float64, floor float64) float64 {
 	if len(odds) == 0 {
 		return 0
 	}
 	sorted := slices.Clone(odds)
 	slices.Sort(sorted)
-	avoided := int(float64(len(sorted)) * mostAvoided)
+	avoided := int(float64(len(sorted)) * (1 - floor))
 	return sorted[len(sorted)-1-avoided]
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -100,7 +100,7 @@
 }
 
 // However many targets are suspect, each gets a request within two seconds,
-// and at least half of them any request.
+// and the floor that operators state any request.
 func TestFloor(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -108,6 +108,7 @@
 		c := NewChooser("a1", regions)
 		c.Update(0, targets("a1", 20))
 		c.SetPeers(1)
+		c.SetFloor(0.7)
 		pooled := map[ferry.TargetID]float64{}
 		for i := range bad {
 			pooled[ferry.TargetID(fmt.Sprintf("a1-%d", i))] = 1 + float64(i)/10
@@ -126,10 +127,11 @@
 			c.Release(now, pick, Report{})
 		}
 		is.Equal(len(used), 20)
-		is.True(len(usedOnce) >= 10)
+		is.True(len(usedOnce) >= 14)
 	}
-	is.Equal(Cut(nil), 0.0)
-	is.Equal(Cut([]float64{3}), 3.0)
+	is.Equal(Cut(nil, 0.7), 0.0)
+	is.Equal(Cut([]float64{3}, 0.7), 3.0)
+	is.Equal(Cut([]float64{5, 1, 4, 2, 3, 0, 6, 9, 7, 8}, 0.7), 6.0)
 }
 
 // The VMs of a place take turns, and only requests that may be repeated are
