--- a/cmd/monsoonferry/node.go
+++ b/cmd/monsoonferry/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,6 +17,10 @@
 	"monsoonferry.org/ferry/platform"
 )
 
+// heapPercent is the part of the VM's memory up to which the collector may let the
+// heap grow; sockets and stacks need the rest.
+const heapPercent = 70
+
 func nodeCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "node",
@@ -36,6 +41,9 @@
 	if err != nil {
 		return trace.Wrap(err, "%s", name)
 	}
+	if settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(settings.MemoryLimit / 100 * heapPercent)
+	}
 	writer := node.NewLogWriter(os.Stdout)
 	stop := make(chan struct{})
 	written := make(chan struct{})
--- a/conf/node.go
+++ b/conf/node.go
@@ -43,17 +43,14 @@
 	RevokeWithin time.Duration
 	// ApplyWithin is the time for a configuration to be in force everywhere.
 	ApplyWithin time.Duration
-	// DrainWithin is the longest time for which a leaving target gets work.
-	DrainWithin time.Duration
 	// Grace is the time between the signal to stop and the end by force.
 	Grace time.Duration
 	// AnswerLifetime is the longest time that callers keep a directory answer.
 	AnswerLifetime time.Duration
 	// RetryShare is the most repeats per first attempt, from 0 to 1.
 	RetryShare float64
-	// RetrySlack is the most further repeats of the whole fleet in RetryWindow.
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetrySlack is the most further repeats of the whole fleet in any time.
+	RetrySlack float64
 	// Floor is the part of each service that stays in use whatever its targets
 	// show, from 0 to 1.
 	Floor float64
@@ -63,24 +60,20 @@
 const (
 	DefaultRevokeWithin   = 5 * time.Second
 	DefaultApplyWithin    = 2 * time.Second
-	DefaultDrainWithin    = 2 * time.Second
 	DefaultGrace          = 6 * time.Second
 	DefaultAnswerLifetime = 5 * time.Second
 	DefaultRetryShare     = 0.1
 	DefaultRetrySlack     = 20.0
-	DefaultRetryWindow    = 10 * time.Second
 )
 
 // Normal returns b with every zero field replaced by its default.
 func (b Bounds) Normal() Bounds {
 	b.RevokeWithin = cmp.Or(b.RevokeWithin, DefaultRevokeWithin)
 	b.ApplyWithin = cmp.Or(b.ApplyWithin, DefaultApplyWithin)
-	b.DrainWithin = cmp.Or(b.DrainWithin, DefaultDrainWithin)
 	b.Grace = cmp.Or(b.Grace, DefaultGrace)
 	b.AnswerLifetime = cmp.Or(b.AnswerLifetime, DefaultAnswerLifetime)
 	b.RetryShare = cmp.Or(b.RetryShare, DefaultRetryShare)
 	b.RetrySlack = cmp.Or(b.RetrySlack, DefaultRetrySlack)
-	b.RetryWindow = cmp.Or(b.RetryWindow, DefaultRetryWindow)
 	b.Floor = cmp.Or(b.Floor, ferry.DefaultFloor)
 	return b
 }
