--- a/lead/controller.go
+++ b/lead/controller.go
@@ -175,6 +175,7 @@
 	case Copied:
 		c.copying = 0
 		c.merge(now, event.Update)
+		c.askForProof(now)
 	case Observed:
 		c.observe(now, event.Evidence)
 	case Seeded:
@@ -295,6 +296,18 @@
 	return true
 }
 
+// askForProof lets the leads tell at once how fresh a copy is.
+func (c *Controller) askForProof(now ferry.Moment) {
+	if c.hasProof {
+		return
+	}
+	for _, lead := range c.leads {
+		if l := c.links[lead]; l != nil {
+			l.nextBeat = now.Steady
+		}
+	}
+}
+
 // push sends a pulse to every follower that lacks records, and lets the leads
 // know.
 func (c *Controller) push(now ferry.Moment) {
