--- a/node/loop.go
+++ b/node/loop.go
@@ -158,7 +158,6 @@
 		}
 	}
 	n.chooseAsked()
-	n.state.noteFirst()
 }
 
 // noteView publishes the view.
--- a/node/node.go
+++ b/node/node.go
@@ -100,7 +100,7 @@
 	settings := parts.Settings
 	n := &Node{
 		parts: parts, log: parts.Log, clock: parts.Clock,
-		state:     &state{clock: parts.Clock, first: make(chan struct{})},
+		state:     &state{clock: parts.Clock},
 		directory: &Directory{regions: settings.Regions, lifetime: settings.Bounds.AnswerLifetime},
 		chooser:   place.NewChooser(settings.Place, settings.Regions),
 		budgets:   &relay.Budgets{},
--- a/node/state.go
+++ b/node/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,19 +19,6 @@
 	bounds atomic.Pointer[conf.Bounds]
 	view   atomic.Pointer[conf.View]
 	proof  atomic.Pointer[ferry.Moment]
-	// first is closed when both view and proof are known.
-	first     chan struct{}
-	firstOnce sync.Once
-}
-
-// First implements relay.Snapshots.
-func (s *state) First() <-chan struct{} { return s.first }
-
-// noteFirst ends the wait for the first configuration.
-func (s *state) noteFirst() {
-	if s.view.Load() != nil && s.proof.Load() != nil {
-		s.firstOnce.Do(func() { close(s.first) })
-	}
 }
 
 // Snapshot implements relay.Snapshots.
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,23 +11,11 @@
 	"monsoonferry.org/ferry"
 )
 
-// Snapshots gives the configuration in force.
+// Snapshots gives the configuration in force, or nil before the first.
 type Snapshots interface {
-	// Snapshot returns nil before the first configuration.
 	Snapshot() ferry.Snapshot
-	// First is closed once the VM knows a configuration that is in force.
-	First() <-chan struct{}
 }
 
-// firstWait bounds the wait of a request for the first configuration of a new
-// process, and firstPart is the part of its time that it may wait. A new VM of
-// a running fleet knows the configuration after two or three round trips, sooner
-// than a caller would return.
-const (
-	firstWait = 500 * time.Millisecond
-	firstPart = 4
-)
-
 // Server is the HTTP handler for callers.
 type Server struct {
 	chain     ferry.Handler
@@ -59,11 +47,10 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	exchange := &ferry.Exchange{
-		Request: request, Writer: writer, Arrived: s.clock.Now(), Demand: s.dialect.Demand(request.Header),
+		Request: request, Writer: writer, Arrived: s.clock.Now(),
+		Snapshot: s.snapshots.Snapshot(), Demand: s.dialect.Demand(request.Header),
 	}
 	exchange.ID = exchange.Demand.ID
-	s.awaitFirst(request.Context(), exchange)
-	exchange.Snapshot = s.snapshots.Snapshot()
 	if s.closing.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -84,28 +71,6 @@
 	s.refuse(exchange, refusal, took)
 }
 
-// awaitFirst lets a request that comes to a new process wait for the first
-// configuration.
-func (s *Server) awaitFirst(ctx context.Context, exchange *ferry.Exchange) {
-	first := s.snapshots.First()
-	select {
-	case <-first:
-		return
-	default:
-	}
-	wait := firstWait
-	if exchange.Demand.Deadline > 0 {
-		wait = min(wait, exchange.Demand.Deadline/firstPart)
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-first:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) handle(ctx context.Context, exchange *ferry.Exchange) error {
 	if exchange.Snapshot == nil {
 		return &ferry.RefusalError{
