place: let requests that run once avoid up to half of a service

Change: requests that may be repeated keep the floor; while such requests come, the others avoid up to half.

--- a/place/chooser.go
+++ b/place/chooser.go
@@ -83,10 +83,18 @@
 	// seconds, and the usual part of the slots that other VMs use.
 	work  atomic.Uint64
 	usual atomic.Uint64
-	// cut is the bits of the log odds above which targets are avoided, as of
-	// cutAt.
-	cut   atomic.Uint64
-	cutAt atomic.Int64
+	// safe and unsafe are the log odds above which targets are avoided by requests
+	// that may be repeated, and by those that may not.
+	safe   cut
+	unsafe cut
+	// safeAt is when a request that may be repeated came last.
+	safeAt atomic.Int64
+}
+
+// cut is the bits of log odds above which targets are avoided, as of at.
+type cut struct {
+	odds atomic.Uint64
+	at   atomic.Int64
 }
 
 // table is what requests read.
@@ -206,7 +214,7 @@
 	if s == nil {
 		return Pick{}, false
 	}
-	cut := s.cutNow(now, c.floor())
+	avoided := s.avoided(now, wish.MayRepeat, c.floor())
 	work := time.Duration(math.Float64frombits(s.work.Load()) * float64(time.Second))
 	usual := math.Float64frombits(s.usual.Load())
 	least := time.Duration(math.MaxInt64)
@@ -215,7 +223,7 @@
 			continue
 		}
 		facts := c.facts(now, candidate, work, usual)
-		if facts.LogOdds <= cut {
+		if facts.LogOdds <= avoided {
 			facts.LogOdds = min(facts.LogOdds, soundOdds)
 		}
 		facts.MayRepeat, facts.Bytes = wish.MayRepeat, wish.Bytes
@@ -236,19 +244,33 @@
 	return pick, true
 }
 
-// cutNow returns the log odds above which targets of the service are avoided.
-func (s *service) cutNow(now time.Duration, floor float64) float64 {
-	if at := time.Duration(s.cutAt.Load()); at != 0 && now-at < cutEvery {
-		return math.Float64frombits(s.cut.Load())
+// avoided returns the log odds above which a request avoids targets of the
+// service. While requests that may be repeated keep the floor in use, the others
+// may avoid more.
+func (s *service) avoided(now time.Duration, mayRepeat bool, floor float64) float64 {
+	if mayRepeat {
+		s.safeAt.Store(int64(max(1, now)))
+		return s.safe.now(now, s, floor)
+	}
+	if at := time.Duration(s.safeAt.Load()); at != 0 && now-at < safeRecent {
+		floor = min(floor, unsafeFloor)
+	}
+	return s.unsafe.now(now, s, floor)
+}
+
+// now returns the cut of a service, made anew after cutEvery.
+func (c *cut) now(now time.Duration, s *service, floor float64) float64 {
+	if at := time.Duration(c.at.Load()); at != 0 && now-at < cutEvery {
+		return math.Float64frombits(c.odds.Load())
 	}
 	odds := make([]float64, 0, len(s.states))
 	for _, known := range s.states {
 		odds = append(odds, known.logOdds(now))
 	}
-	cut := Cut(odds, floor)
-	s.cut.Store(math.Float64bits(cut))
-	s.cutAt.Store(int64(max(1, now)))
-	return cut
+	above := Cut(odds, floor)
+	c.odds.Store(math.Float64bits(above))
+	c.at.Store(int64(max(1, now)))
+	return above
 }
 
 // facts gathers what decides the cost of a target.
--- a/place/floor.go
+++ b/place/floor.go
@@ -10,6 +10,12 @@
 const (
 	// soundOdds are log odds that cost nothing in placing.
 	soundOdds = -3.0
+	// unsafeFloor is the part of a service that stays in full use by requests that
+	// may not be repeated, while others keep the operators' floor.
+	unsafeFloor = 0.5
+	// safeRecent is the time for which requests that may be repeated count as
+	// keeping the floor: the users count targets in use within two seconds.
+	safeRecent = time.Second
 	// trialEvery is the time between two trials of a suspect target by the VMs
 	// of its place together: shorter than the two seconds after which the users
 	// count a target as out of use.
