lead: let lists of VMs and of targets grow beyond a message and a call

The list of 300 VMs did not fit into a datagram and was sent in vain with every answer; every VM without a proof listed all targets after 0.6 to 1.2 s, a call for each 50 of 3,000, beyond the rate of the store; copies of the records were fetched from seeds in other regions. Change: a message names 64 VMs at most and the rest is asked for; a VM whose lead answers lists after 3 s; copies come from leads only.

--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"monsoonferry.org/ferry"
@@ -83,7 +84,9 @@
 			return
 		}
 	}
-	if exchange.Bulk && now.Steady >= c.copying {
+	// A copy from any VM but a lead would cross regions for nothing.
+	isLead := slices.Contains(c.leads, l.vm.Peers) || len(c.view) == 1
+	if exchange.Bulk && isLead && now.Steady >= c.copying {
 		c.copying = now.Steady + copyTimeout
 		c.emit(StartCopy{From: l.vm.Control(), After: c.records.Revision()})
 	}
@@ -170,6 +173,9 @@
 	if l.list.apply(now.Steady, exchange.List) {
 		c.isDirty = true
 	}
+	if exchange.List.IsPartial {
+		c.askForRest(now, l)
+	}
 	c.takeBack(now, l, exchange)
 	lead, isSelf := c.Lead()
 	if isSelf || lead != l.vm.Peers || !exchange.HasEvidence {
@@ -182,6 +188,15 @@
 	c.emit(EvidenceChanged{})
 }
 
+// askForRest sends a beat that fetches the rest of a list.
+func (c *Controller) askForRest(now ferry.Moment, l *link) {
+	if slices.Contains(c.leads, l.vm.Peers) {
+		l.nextBeat = now.Steady
+		return
+	}
+	c.send(now, l.vm.Peers, l, true)
+}
+
 // send sends a beat or a pulse.
 func (c *Controller) send(now ferry.Moment, to netip.AddrPort, l *link, beat bool) {
 	c.sequence++
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -636,3 +636,47 @@
 		})
 	}
 }
+
+// In a fleet whose list of VMs fills many messages, every VM knows all others
+// soon after the start, and again after all were killed; no message is long.
+func TestLargeFleet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const size, longest = 240, 6000
+	w := newWorld(16, size)
+	w.startAll()
+	w.run(3*time.Second, nil)
+	for _, vm := range w.vms {
+		is.Equal(len(vm.c.View()), size)
+	}
+	for i := range w.vms {
+		w.kill(i)
+	}
+	w.run(w.now+time.Second, nil)
+	w.startAll()
+	w.run(w.now+3*time.Second, nil)
+	for _, vm := range w.vms {
+		is.Equal(len(vm.c.View()), size)
+		_, hasProof := vm.c.Proof()
+		is.True(hasProof)
+	}
+	t.Logf("largest message %d bytes, %d KB in all", w.largest, w.bytes/1000)
+	is.True(w.largest <= longest)
+}
+
+// While a large fleet starts and a list of all targets takes a second, few VMs
+// list: all at once would exceed the rate of the store, and none would end.
+func TestStartOfLargeFleetListsLittle(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(17, 120)
+	w.listTime = time.Second
+	w.startAll()
+	w.run(4*time.Second, nil)
+	for _, vm := range w.vms {
+		_, hasProof := vm.c.Proof()
+		is.True(hasProof)
+	}
+	t.Logf("%d lists", w.lists)
+	is.True(w.lists <= 20)
+}
--- a/lead/message.go
+++ b/lead/message.go
@@ -113,6 +113,8 @@
 	Version uint64
 	VMs     []VM
 	Removed []netip.AddrPort
+	// IsPartial reports that more changes follow Version.
+	IsPartial bool
 }
 
 // Event is an input of the Controller.
--- a/lead/read.go
+++ b/lead/read.go
@@ -19,10 +19,13 @@
 	staleAfter = 2 * time.Second
 	// staleSpread spreads the VMs that start to read.
 	staleSpread = 400 * time.Millisecond
-	// bootSpread is the same for a process without any proof, and firstSpread that
-	// for one which leads all VMs that it knows: a round trip between regions and
-	// the time in which the VMs of a fleet start.
-	bootSpread  = 600 * time.Millisecond
+	// bootSpread is the same for a process without any proof.
+	bootSpread = 600 * time.Millisecond
+	// ledSpread is the same for one whose lead answers: the time of a list of some
+	// thousand targets, twice.
+	ledSpread = 3 * time.Second
+	// firstSpread is the same for one that leads all VMs that it knows: a round
+	// trip between regions and the time in which the VMs of a fleet start.
 	firstSpread = 150 * time.Millisecond
 	// soundFor is how long a successful read counts as reading.
 	soundFor = 1200 * time.Millisecond
@@ -81,7 +84,7 @@
 // lead, its proof is old, or its lead relies on it.
 func (c *Controller) mustRead(now ferry.Moment) bool {
 	if !c.hasProof {
-		return now.Steady-c.started > c.bootDelay()
+		return now.Steady-c.started > c.bootDelay(now.Steady)
 	}
 	lead, isSelf := c.Lead()
 	if isSelf {
@@ -95,12 +98,19 @@
 }
 
 // bootDelay is the time after which a new process without any proof reads: the
-// first lead of the VMs that it knows before the others.
-func (c *Controller) bootDelay() time.Duration {
-	if _, isSelf := c.Lead(); isSelf && len(c.view) > 1 {
+// first lead of the VMs that it knows before the others, and VMs whose lead
+// answers last. In a large fleet a list takes many calls, and lists of all VMs at
+// once would exceed the rate of the store.
+func (c *Controller) bootDelay(now time.Duration) time.Duration {
+	lead, isSelf := c.Lead()
+	spread := bootSpread
+	switch l := c.links[lead]; {
+	case isSelf && len(c.view) > 1:
 		return time.Duration(c.options.Jitter * float64(firstSpread))
+	case !isSelf && l != nil && l.answers(now):
+		spread = ledSpread
 	}
-	return bootSpread + time.Duration(c.options.Jitter*float64(bootSpread))
+	return spread + time.Duration(c.options.Jitter*float64(spread))
 }
 
 // hasReads reports whether this VM, or one that it leads, read the store a
--- a/lead/roster.go
+++ b/lead/roster.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -43,7 +44,12 @@
 	return r.version != before
 }
 
-// since returns what changed after a version.
+// maxListed is the number of VMs that one message names at most: about 4 KB, so
+// that a lost fragment is rare and no datagram is too long.
+const maxListed = 64
+
+// since returns what changed after a version, the oldest changes first and
+// maxListed of them at most.
 func (r *roster) since(after uint64) ListChange {
 	if after > r.version {
 		after = 0
@@ -52,17 +58,24 @@
 	if after == r.version {
 		return change
 	}
-	for address, known := range r.entries {
-		switch {
-		case known.version <= after:
-		case !known.isRemoved:
+	var changed []rosterEntry
+	for _, known := range r.entries {
+		if known.version > after && (after > 0 || !known.isRemoved) {
+			changed = append(changed, known)
+		}
+	}
+	slices.SortFunc(changed, func(a, b rosterEntry) int { return cmp.Compare(a.version, b.version) })
+	if len(changed) > maxListed {
+		changed = changed[:maxListed]
+		change.Version, change.IsPartial = changed[maxListed-1].version, true
+	}
+	for _, known := range changed {
+		if known.isRemoved {
+			change.Removed = append(change.Removed, known.vm.Peers)
+		} else {
 			change.VMs = append(change.VMs, known.vm)
-		case after > 0:
-			change.Removed = append(change.Removed, address)
 		}
 	}
-	slices.SortFunc(change.VMs, func(a, b VM) int { return a.Peers.Compare(b.Peers) })
-	slices.SortFunc(change.Removed, netip.AddrPort.Compare)
 	return change
 }
 
@@ -93,7 +106,9 @@
 		delete(l.vms, address)
 	}
 	l.version = change.Version
-	l.at = now
+	if !change.IsPartial {
+		l.at = now
+	}
 	return isChanged
 }
 
--- a/lead/world_test.go
+++ b/lead/world_test.go
@@ -64,8 +64,13 @@
 	calls   int
 	sent    int
 	bytes   int
+	// largest is the size of the largest message.
+	largest int
 	boots   uint64
 	places  int
+	// listTime is how long a full list takes, and lists counts them.
+	listTime time.Duration
+	lists    int
 	// power tells the power of each VM, if it is set.
 	power func(vm int) uint32
 	// perVM counts the bytes that each VM sent, when it is set.
@@ -264,6 +269,7 @@
 	}
 	w.sent++
 	w.bytes += len(datagram)
+	w.largest = max(w.largest, len(datagram))
 	if w.perVM != nil {
 		w.perVM[from] += len(datagram)
 	}
@@ -334,7 +340,12 @@
 	}
 	call.isAnswered = true
 	call.ended.Listing = w.listing(call.read)
-	w.schedule(w.now+2*time.Millisecond, call.vm, call.ended)
+	took := 2 * time.Millisecond
+	if call.read.Full {
+		w.lists++
+		took += w.listTime
+	}
+	w.schedule(w.now+took, call.vm, call.ended)
 }
 
 func (w *world) listing(read StartRead) ferry.Listing {
