--- a/lead/controller.go
+++ b/lead/controller.go
@@ -322,13 +322,3 @@
 		}
 	}
 }
-
-// observe collects evidence of this VM.
-func (c *Controller) observe(now ferry.Moment, evidence []Evidence) {
-	for _, e := range c.own.weigh(now.Steady, evidence) {
-		c.pending[e.Target] += e.LogOdds
-		if e.LogOdds > 0 {
-			c.urgent = true
-		}
-	}
-}
--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -125,12 +125,6 @@
 	}
 }
 
-// takeEvidence takes the evidence of a VM that this one leads.
-func (c *Controller) takeEvidence(now ferry.Moment, l *link, exchange Exchange) {
-	c.poolEvidence(now, l.vm.Place, exchange.Evidence)
-	c.passUp(exchange.Evidence)
-}
-
 // pushChanges tells the followers at once of VMs that callers should no longer
 // use, and those of the regions from which a new suspect came of that. They hear
 // of other changes with their next beats.
--- /dev/null
+++ b/lead/lend_test.go
@@ -0,0 +1,162 @@
+package lead
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func checkShares(w *world) error {
+	sum := 0.0
+	most := 1.0001
+	for _, vm := range w.vms {
+		if vm.alive && vm.c != nil && w.now >= vm.frozenUntil {
+			sum += vm.c.HeldShare(w.moment(vm))
+		}
+	}
+	for _, vm := range w.vms {
+		for _, at := range vm.restarts {
+			if w.now-at < LendTerm {
+				most += 1 / float64(len(w.vms))
+			}
+		}
+	}
+	if sum > most {
+		return fmt.Errorf("shares of %.3f are held", sum)
+	}
+	return nil
+}
+
+func TestSharesReturnAfterLeadIsLost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(6, 36)
+	w.startAll()
+	w.run(6*time.Second, nil)
+	lead := w.first()
+	is.True(w.vms[lead].c.HeldShare(w.moment(w.vms[lead])) > 0.99)
+	w.kill(lead)
+	w.run(w.now+3500*time.Millisecond, nil)
+	held := 0.0
+	for i, vm := range w.vms {
+		if i != lead {
+			held += vm.c.HeldShare(w.moment(vm))
+		}
+	}
+	is.True(held > 0.9)
+	is.True(held <= 1)
+}
+
+func TestCutOffPartHoldsItsPart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(7, 36)
+	w.startAll()
+	w.run(6*time.Second, nil)
+	for i := range 12 {
+		for j := 12; j < 36; j++ {
+			w.cut[[2]int{i, j}], w.cut[[2]int{j, i}] = true, true
+		}
+	}
+	check := func() {
+		if err := checkShares(w); err != nil {
+			t.Fatalf("at %v: %v", w.now, err)
+		}
+	}
+	w.run(w.now+8*time.Second, check)
+	small := 0.0
+	for i := range 12 {
+		small += w.vms[i].c.HeldShare(w.moment(w.vms[i]))
+	}
+	is.True(small > 0.3)
+	is.True(small < 0.34)
+}
+
+func TestLeavingLeadGivesBack(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for seed := range uint64(4) {
+		w := newWorld(seed, 36)
+		w.startAll()
+		w.run(8*time.Second, nil)
+		leaving := w.first()
+		if seed%2 == 1 {
+			leaving = w.placeLead()
+		}
+		w.step(leaving, Stated{Leaving: true})
+		worst := 0.0
+		for range 30 {
+			w.run(w.now+100*time.Millisecond, nil)
+			if err := checkShares(w); err != nil {
+				t.Fatal(err)
+			}
+			held := 0.0
+			for _, vm := range w.vms {
+				held += vm.c.HeldShare(w.moment(vm))
+			}
+			worst = max(worst, held)
+			if held > 0.95 {
+				break
+			}
+		}
+		t.Logf("seed %d: %.2f are held after the change", seed, worst)
+		is.True(worst > 0.95)
+	}
+}
+
+func heldShares(w *world) float64 {
+	held := 0.0
+	for _, vm := range w.vms {
+		if vm.alive {
+			held += vm.c.HeldShare(w.moment(vm))
+		}
+	}
+	return held
+}
+
+func TestRollingLeadsKeepShares(t *testing.T) {
+	t.Parallel()
+	for _, hasStrong := range []bool{false, true} {
+		t.Run(fmt.Sprint(hasStrong), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(3, 32)
+			w.power = func(i int) uint32 {
+				if hasStrong && i < 3 {
+					return 800
+				}
+				return 160
+			}
+			w.startAll()
+			w.run(10*time.Second, nil)
+			longest, missing := time.Duration(0), time.Duration(0)
+			settle := func(d time.Duration) {
+				for end := w.now + d; w.now < end; {
+					w.run(w.now+100*time.Millisecond, nil)
+					if err := checkShares(w); err != nil {
+						t.Fatal(err)
+					}
+					missing += 100 * time.Millisecond
+					if heldShares(w) > 0.9 {
+						missing = 0
+					}
+					longest = max(longest, missing)
+				}
+			}
+			for range 6 {
+				leaving := w.first()
+				w.step(leaving, Stated{Leaving: true})
+				settle(1500 * time.Millisecond)
+				w.kill(leaving)
+				settle(500 * time.Millisecond)
+				w.start(leaving)
+				settle(6 * time.Second)
+			}
+			t.Logf("shares are missing for %v", longest)
+			if longest > time.Second {
+				t.Errorf("shares are missing for %v", longest)
+			}
+		})
+	}
+}
--- a/node/loop.go
+++ b/node/loop.go
@@ -153,7 +153,7 @@
 		case lead.EvidenceChanged:
 			n.chooser.Pool(n.controller.Pooled())
 		case lead.Followed:
-			n.log.Info("lead", "lead", action.Lead)
+			n.log.Info("lead", "lead", action.Lead, "leadsPlace", n.controller.LeadsPlace())
 			n.changeHolder()
 		}
 	}
--- a/node/report.go
+++ b/node/report.go
@@ -26,6 +26,8 @@
 	Ready    bool
 	Leaving  bool
 	Lead     string
+	// LeadsPlace reports that this VM leads the VMs of its place.
+	LeadsPlace bool
 	// FleetSize is the largest fleet that is remembered.
 	FleetSize int
 	// HeldShare is the part of every allowance that this VM may grant.
@@ -91,7 +93,7 @@
 	lead, _ := n.controller.Lead()
 	status := Status{
 		ID: n.parts.Settings.ID, Place: n.parts.Settings.Place, Ready: n.IsReady(), Leaving: n.leaving.Load(),
-		Lead: lead.String(), FleetSize: n.controller.FleetSize(), HeldShare: n.controller.HeldShare(now),
+		Lead: lead.String(), LeadsPlace: n.controller.LeadsPlace(), FleetSize: n.controller.FleetSize(), HeldShare: n.controller.HeldShare(now),
 		InFlight: n.server.InFlight(), DroppedEvents: n.dropped.Load(),
 	}
 	status.Revision, _ = n.controller.Revisions()
