lead: let a named reader read although it has no proof yet

Cause: mustRead looked for a proof before it looked whether the lead names this VM as its reader. After all VMs were killed, with first leads that the store turns away, the named readers waited as long as all others. Change: a named reader reads at once; VMs whose lead answers list after 2 to 4 s.

--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -363,3 +363,28 @@
 	t.Logf("%d lists", w.lists)
 	is.True(w.lists <= 20)
 }
+
+// A fleet whose first leads are turned away by the store from the start knows the
+// records as soon as one of their followers has read them.
+func TestStartWithLeadsTurnedAway(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for _, away := range []int{1, 3, 12} {
+		w := newWorld(18, 36)
+		w.startAll()
+		w.run(8*time.Second, nil)
+		for i := range w.vms {
+			w.kill(i)
+			w.vms[i].storeless = i < away
+		}
+		w.run(w.now+time.Second, nil)
+		w.startAll()
+		w.run(w.now+2500*time.Millisecond, nil)
+		for i, vm := range w.vms {
+			if _, hasProof := vm.c.Proof(); !hasProof {
+				t.Errorf("%d are turned away: VM %d has no proof", away, i)
+			}
+		}
+	}
+	is.True(true)
+}
--- a/lead/read.go
+++ b/lead/read.go
@@ -23,7 +23,7 @@
 	bootSpread = 600 * time.Millisecond
 	// ledSpread is the same for one whose lead answers: the time of a list of some
 	// thousand targets, twice.
-	ledSpread = 3 * time.Second
+	ledSpread = 2 * time.Second
 	// firstSpread is the same for one that leads all VMs that it knows: a round
 	// trip between regions and the time in which the VMs of a fleet start.
 	firstSpread = 150 * time.Millisecond
@@ -83,18 +83,14 @@
 // mustRead reports whether this VM has to read the store: it is the first
 // lead, its proof is old, or its lead relies on it.
 func (c *Controller) mustRead(now ferry.Moment) bool {
-	if !c.hasProof {
-		return now.Steady-c.started > c.bootDelay(now.Steady)
-	}
 	lead, isSelf := c.Lead()
-	if isSelf {
+	if l := c.links[lead]; !isSelf && l != nil && l.reader == c.self.Peers {
 		return true
 	}
-	if now.LongestSince(c.proof) > staleAfter+time.Duration(c.options.Jitter*float64(staleSpread)) {
-		return true
+	if !c.hasProof {
+		return now.Steady-c.started > c.bootDelay(now.Steady)
 	}
-	l := c.links[lead]
-	return l != nil && l.reader == c.self.Peers
+	return isSelf || now.LongestSince(c.proof) > staleAfter+time.Duration(c.options.Jitter*float64(staleSpread))
 }
 
 // bootDelay is the time after which a new process without any proof reads: the
