--- a/lead/read.go
+++ b/lead/read.go
@@ -21,9 +21,9 @@
 	staleSpread = 400 * time.Millisecond
 	// bootSpread is the same for a process without any proof.
 	bootSpread = 600 * time.Millisecond
-	// ledSpread is the same for one whose lead answers: the time of a list of some
-	// thousand targets, twice.
-	ledSpread = 2 * time.Second
+	// ledSpread is the same for one whose lead answers, in fleets of up to
+	// urgentFleet VMs. It grows with the fleet, as the lists of all its VMs do.
+	ledSpread = time.Second
 	// firstSpread is the same for one that leads all VMs that it knows: a round
 	// trip between regions and the time in which the VMs of a fleet start.
 	firstSpread = 150 * time.Millisecond
@@ -104,7 +104,7 @@
 	case isSelf && len(c.view) > 1:
 		return time.Duration(c.options.Jitter * float64(firstSpread))
 	case !isSelf && l != nil && l.answers(now):
-		spread = ledSpread
+		spread = ledSpread * time.Duration(max(urgentFleet, len(c.view))) / urgentFleet
 	}
 	return spread + time.Duration(c.options.Jitter*float64(spread))
 }
