lead: let a VM whose lead is silent read at once

Since proofs pass two leads, a VM read by itself only when its proof was 2 to 2.4 s old. Ruled out: reading at 1.2 s again; proofs reach that age in normal operation now. Change: a VM whose lead leaves beats unanswered reads when its proof is 1 s old. Test seen failing: TestChangeReachesCutOffVM (3 of 24 VMs late, 0 after).

--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -388,3 +388,22 @@
 	}
 	is.True(true)
 }
+
+// A VM that all others are cut off from, but not the store, knows a change within
+// 2 s, the users' bound.
+func TestChangeReachesCutOffVM(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(24) {
+		w := newWorld(seed, 36)
+		w.startAll()
+		w.run(6*time.Second+time.Duration(w.random.IntN(1000))*time.Millisecond, nil)
+		cut := int(seed)
+		w.cutOff(cut, true, true, true)
+		w.run(w.now+time.Duration(w.random.IntN(300))*time.Millisecond, nil)
+		w.put("target1", "draining")
+		w.run(w.now+1900*time.Millisecond, nil)
+		if records, _ := w.vms[cut].c.Revisions(); records < w.revision {
+			t.Errorf("seed %d: VM %d has revision %d, not %d", seed, cut, records, w.revision)
+		}
+	}
+}
--- a/lead/read.go
+++ b/lead/read.go
@@ -17,6 +17,10 @@
 	watchPause = 150 * time.Millisecond
 	// staleAfter is the age of the proof at which a VM reads by itself.
 	staleAfter = 2 * time.Second
+	// cutOffAfter is the same for a VM whose lead does not answer. Changes come at
+	// once as long as it does, so only what came since then may be missing, and
+	// that has to be known within two seconds.
+	cutOffAfter = time.Second
 	// staleSpread spreads the VMs that start to read.
 	staleSpread = 400 * time.Millisecond
 	// bootSpread is the same for a process without any proof.
@@ -90,6 +94,9 @@
 	if !c.hasProof {
 		return now.Steady-c.started > c.bootDelay(now.Steady)
 	}
+	if l := c.links[lead]; l != nil && l.isUnanswered(now.Steady) && now.LongestSince(c.proof) > cutOffAfter {
+		return true
+	}
 	return isSelf || now.LongestSince(c.proof) > staleAfter+time.Duration(c.options.Jitter*float64(staleSpread))
 }
 
