--- a/lead/evidence.go
+++ b/lead/evidence.go
@@ -34,6 +34,11 @@
 	if _, isSelf := c.Lead(); isSelf {
 		return
 	}
+	c.collect(evidence)
+}
+
+// collect adds evidence to what the lead of this VM gets with the next beat.
+func (c *Controller) collect(evidence []Evidence) {
 	for _, e := range evidence {
 		c.pending[e.Target] += e.LogOdds
 		if e.LogOdds > 0 {
@@ -50,10 +55,5 @@
 
 // observe collects evidence of this VM.
 func (c *Controller) observe(now ferry.Moment, evidence []Evidence) {
-	for _, e := range c.own.weigh(now.Steady, evidence) {
-		c.pending[e.Target] += e.LogOdds
-		if e.LogOdds > 0 {
-			c.urgent = true
-		}
-	}
+	c.collect(c.own.weigh(now.Steady, evidence))
 }
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -98,8 +98,6 @@
 	return nil
 }
 
-// checkShares fails when VMs hold more than the whole of the allowances. The
-// share of a VM may be held once more for a term after each restart.
 // TestProofsAndSharesHold plays random faults. A proof must never claim what is
 // not known, and, once the fleet knows itself, shares must never exceed one.
 func TestProofsAndSharesHold(t *testing.T) {
@@ -222,12 +220,6 @@
 	}
 }
 
-// A lost lead is replaced, and its shares are held again, within 3.5 s. Until
-// then a VM waits for the end of the term.
-// A part of the fleet that is cut off holds its part of the allowances only.
-// VMs that were killed all at once know each other again within 2 s.
-// A VM whose seeds are all down is found by the fleet when one of them is
-// replaced.
 // A VM that suspects many targets has bad paths: it speaks for itself only.
 func TestReporterOfManyIsWeighedDown(t *testing.T) {
 	t.Parallel()
@@ -251,7 +243,6 @@
 	is.True(true)
 }
 
-// Of two records of one VM the later counts, whichever lead it came from.
 // The store is called by few VMs.
 func TestCallsToTheStore(t *testing.T) {
 	t.Parallel()
@@ -308,13 +299,6 @@
 	})
 }
 
-// The work of a lead follows the size of its place and the number of places,
-// not the fleet.
-// Stronger VMs lead.
-// A killed VM leaves the view of every other one within 4 s, whether it led or
-// not, and a VM that comes is known within 2 s.
-// A lead that leaves gives back what it holds, so that the shares are held by
-// the next one within 1.5 s.
 // A first lead that the store turns away relies on a VM that reads, and few
 // others read.
 func TestLeadThatCannotReadNamesReader(t *testing.T) {
@@ -340,13 +324,6 @@
 	is.True(w.calls <= 60)
 }
 
-// heldShares returns the sum of the shares that VMs may grant.
-// While the leads stop as planned and come back, one after the other, shares are
-// missing for a second at most: a beat of the leads of places to the next lead,
-// its answer and another beat. So also when a stronger VM comes back and leads
-// again.
-// In a fleet whose list of VMs fills many messages, every VM knows all others
-// soon after the start, and again after all were killed; no message is long.
 // While a large fleet starts and a list of all targets takes a second, few VMs
 // list: all at once would exceed the rate of the store, and none would end.
 func TestStartOfLargeFleetListsLittle(t *testing.T) {
--- a/lead/lend_test.go
+++ b/lead/lend_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 )
 
+// checkShares fails when VMs hold more than the whole of the allowances. The
+// share of a VM may be held once more for a term after each restart.
 func checkShares(w *world) error {
 	sum := 0.0
 	most := 1.0001
@@ -29,6 +31,8 @@
 	return nil
 }
 
+// A lost lead is replaced, and its shares are held again, within 3.5 s. Until
+// then a VM waits for the end of the term.
 func TestSharesReturnAfterLeadIsLost(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -39,16 +43,12 @@
 	is.True(w.vms[lead].c.HeldShare(w.moment(w.vms[lead])) > 0.99)
 	w.kill(lead)
 	w.run(w.now+3500*time.Millisecond, nil)
-	held := 0.0
-	for i, vm := range w.vms {
-		if i != lead {
-			held += vm.c.HeldShare(w.moment(vm))
-		}
-	}
+	held := heldShares(w)
 	is.True(held > 0.9)
 	is.True(held <= 1)
 }
 
+// A part of the fleet that is cut off holds its part of the allowances only.
 func TestCutOffPartHoldsItsPart(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -74,6 +74,8 @@
 	is.True(small < 0.34)
 }
 
+// A lead that leaves gives back what it holds, so that the shares are held by
+// the next one within 1.5 s.
 func TestLeavingLeadGivesBack(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -92,10 +94,7 @@
 			if err := checkShares(w); err != nil {
 				t.Fatal(err)
 			}
-			held := 0.0
-			for _, vm := range w.vms {
-				held += vm.c.HeldShare(w.moment(vm))
-			}
+			held := heldShares(w)
 			worst = max(worst, held)
 			if held > 0.95 {
 				break
@@ -106,6 +105,7 @@
 	}
 }
 
+// heldShares returns the sum of the shares that VMs may grant.
 func heldShares(w *world) float64 {
 	held := 0.0
 	for _, vm := range w.vms {
@@ -116,6 +116,10 @@
 	return held
 }
 
+// While the leads stop as planned and come back, one after the other, shares are
+// missing for a second at most: a beat of the leads of places to the next lead,
+// its answer and another beat. So also when a stronger VM comes back and leads
+// again.
 func TestRollingLeadsKeepShares(t *testing.T) {
 	t.Parallel()
 	for _, hasStrong := range []bool{false, true} {
--- a/lead/view_test.go
+++ b/lead/view_test.go
@@ -35,6 +35,7 @@
 	}
 }
 
+// VMs that were killed all at once know each other again within 2 s.
 func TestFleetReturnsAfterAllAreKilled(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -54,6 +55,8 @@
 	}
 }
 
+// A VM whose seeds are all down is found by the fleet when one of them is
+// replaced.
 func TestStaleSeeds(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -69,6 +72,7 @@
 	is.Equal(len(w.vms[1].c.View()), 10)
 }
 
+// Of two records of one VM the later counts, whichever lead it came from.
 func TestLaterRecordCounts(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -92,6 +96,8 @@
 	is.True(true)
 }
 
+// The work of a lead follows the size of its place and the number of places,
+// not the fleet.
 func TestFollowersOfOneVM(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -106,6 +112,7 @@
 	is.True(most <= len(w.vms)/places+places)
 }
 
+// Stronger VMs lead.
 func TestStrongerVMsLead(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -124,6 +131,8 @@
 	}
 }
 
+// A killed VM leaves the view of every other one within 4 s, whether it led or
+// not, and a VM that comes is known within 2 s.
 func TestViewFollowsLossAndStart(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -147,6 +156,8 @@
 	}
 }
 
+// In a fleet whose list of VMs fills many messages, every VM knows all others
+// soon after the start, and again after all were killed; no message is long.
 func TestLargeFleet(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
