--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -38,6 +38,7 @@
 // was broken.
 var cases = map[string]func(*lab) (bool, error){
 	"early": playEarly,
+	"seeds": playSeeds,
 }
 
 func main() {
