--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -37,8 +37,9 @@
 // cases maps the names of cases to what plays them. A case reports whether the rule
 // was broken.
 var cases = map[string]func(*lab) (bool, error){
-	"early": playEarly,
-	"seeds": playSeeds,
+	"early":  playEarly,
+	"seeds":  playSeeds,
+	"outage": playOutage,
 }
 
 func main() {
--- a/review/_lab/store.go
+++ b/review/_lab/store.go
@@ -19,6 +19,9 @@
 	changed  chan struct{}
 	revision uint64
 	items    map[string]item
+	// isDown reports that the store is down and silent: it answers no call, also none
+	// that came before.
+	isDown bool
 }
 
 type item struct {
@@ -49,16 +52,43 @@
 	mux.HandleFunc("GET /-/kv-key", s.serveKey)
 	mux.HandleFunc("GET /-/kv-range", s.serveRange)
 	mux.HandleFunc("GET /-/kv-watch", s.serveWatch)
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.hangIfDown(r)
+			mux.ServeHTTP(w, r)
+		}))
+	}()
 	return s, nil
 }
 
+// setDown starts or ends an outage.
+func (s *store) setDown(isDown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = isDown
+}
+
+// hangIfDown waits until the caller gives up if the store is down.
+func (s *store) hangIfDown(r *http.Request) {
+	s.mu.Lock()
+	isDown := s.isDown
+	s.mu.Unlock()
+	if isDown {
+		<-r.Context().Done()
+	}
+}
+
 // put writes a value. Its return is the ack.
 func (s *store) put(key string, value any) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
+	s.putEncoded(key, encoded)
+}
+
+// putEncoded is like put, with a value that is already JSON.
+func (s *store) putEncoded(key string, encoded []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -117,6 +147,7 @@
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
+		s.hangIfDown(r)
 		s.mu.Lock()
 		list := s.selectItems(query.Get("prefix"), func(i item) bool { return i.Revision > after })
 		revision, changed := s.revision, s.changed
@@ -128,6 +159,7 @@
 		select {
 		case <-changed:
 		case <-timeout:
+			s.hangIfDown(r)
 			respondJSON(w, answer{Events: []item{}, AsOf: revision})
 			return
 		case <-r.Context().Done():
