platform: kind download; an odd entry no longer takes the whole configuration away

Cause: RecordDecoder.Inventory rejected the whole configuration for one route of an unknown kind, so no VM of pistemaps became ready. Change: entries are decoded one by one. An unknown kind runs at most once; a route or account that can't be read whole refuses its requests with a 503 and a reason of its own; one without a prefix or keys is left out. Each is a Finding with a rule, is logged and counted in the status. A version that can't be read keeps the former in force and shows in the status. Download is idempotent. Records of evacuations are listed and decoded, homes and cold rates are part of the domain types; nothing reads them yet.

--- a/exchange.go
+++ b/exchange.go
@@ -78,6 +78,16 @@
 	ReasonDeadline         Reason = "DeadlineExceeded"
 	ReasonNotReady         Reason = "NotReady"
 	ReasonMalformed        Reason = "Malformed"
+	ReasonBrokenRoute      Reason = "BrokenRoute"
+	ReasonBrokenAccount    Reason = "BrokenAccount"
+	// ReasonHomeRegion means that no target in the homes of the route and the client
+	// account takes requests.
+	ReasonHomeRegion Reason = "HomeRegion"
+	// ReasonEvacuated means that only targets in evacuated places are left.
+	ReasonEvacuated Reason = "Evacuated"
+	// ReasonColdTargets means that only cold targets are left, and their rate is used
+	// up.
+	ReasonColdTargets Reason = "ColdTargets"
 )
 
 // RefusalError is the error with which a filter ends a request that it does not
--- a/inventory.go
+++ b/inventory.go
@@ -64,6 +64,11 @@
 	// MaxConnections bounds the connections from the whole fleet to one target.
 	// Zero means that each target states its own bound.
 	MaxConnections int
+	// ColdTime is how long a target is cold after its start.
+	ColdTime time.Duration
+	// ColdRate is the number of requests per second, from the whole fleet, that a
+	// cold target tolerates. Zero means no limit.
+	ColdRate float64
 }
 
 // Rules are the limits that operators set for a service. The zero value of
@@ -151,6 +156,12 @@
 	// Priority replaces the priority of the route when HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions are the homes of the account: the only regions whose targets may get
+	// its requests. An empty list allows all.
+	Regions []RegionID
+	// IsBroken reports that the entry could not be read whole. Its requests are
+	// refused, since a part of it may have limited them.
+	IsBroken bool
 }
 
 // Route maps requests by host and path prefix to a service.
@@ -178,6 +189,12 @@
 	Attempts int
 	// Priority ranks the requests. Requests of priority zero are served first.
 	Priority int
+	// Regions are the homes of the route: the only regions whose targets may get its
+	// requests. An empty list allows all.
+	Regions []RegionID
+	// IsBroken reports that the entry could not be read whole. Its requests are
+	// refused.
+	IsBroken bool
 }
 
 // RouteKind decides which requests of a route may run more than once.
@@ -193,6 +210,8 @@
 	KindUnsafe
 	// KindUpload requests have large bodies and run at most once.
 	KindUpload
+	// KindDownload requests have large responses and may run more than once.
+	KindDownload
 )
 
 // String returns the name of the kind as it appears in logs.
@@ -204,6 +223,8 @@
 		return "Unsafe"
 	case KindUpload:
 		return "Upload"
+	case KindDownload:
+		return "Download"
 	case KindByMethod:
 	}
 	return "ByMethod"
@@ -234,7 +255,7 @@
 // than once on this route.
 func (r Route) IsIdempotent(method string) bool {
 	if r.Kind != KindByMethod {
-		return r.Kind == KindSafe
+		return r.Kind == KindSafe || r.Kind == KindDownload
 	}
 	for _, m := range r.IdempotentMethods {
 		if m == method {
@@ -256,4 +277,18 @@
 	Accounts []Account
 	Routes   []Route
 	Limits   CallerLimits
+	// Findings are the parts of the configuration that could not be used as they are.
+	Findings []Finding
+}
+
+// Finding is an entry of a configuration that could not be used as it is.
+type Finding struct {
+	// Rule identifies the check that found it.
+	Rule string
+	// Path is the place in the configuration, such as Routes[3].
+	Path string
+	// Name is the name of the entry, or empty if it has none.
+	Name string
+	// Text tells what is odd and what the VM makes of it.
+	Text string
 }
--- a/lead/simulation_test.go
+++ b/lead/simulation_test.go
@@ -15,6 +15,8 @@
 // testDecoder treats the record "config" as the configuration.
 type testDecoder struct{}
 
+func (testDecoder) Evacuation(ferry.Record) (ferry.PlaceID, bool) { return "", false }
+
 func (testDecoder) IsInventory(record ferry.Record) bool { return record.Key == "config" }
 
 func (testDecoder) Inventory(record ferry.Record) (*ferry.Inventory, bool, error) {
--- a/node/loop.go
+++ b/node/loop.go
@@ -218,7 +218,8 @@
 // publishRecords decodes the records and publishes the inventory and targets.
 func (n *Node) publishRecords() {
 	now := n.clock.Now()
-	inventory, targets := n.recordCache.decode(n.controller.Live(now))
+	decoded := n.recordCache.decode(n.controller.Live(now))
+	inventory, targets := decoded.inventory, decoded.targets
 	n.listedTargets = make(map[ferry.TargetID]int64, len(targets))
 	for _, target := range targets {
 		n.listedTargets[target.ID] = target.Incarnation
--- a/node/report.go
+++ b/node/report.go
@@ -21,6 +21,13 @@
 	// Version is the configuration in force, zero for none.
 	Version  uint64
 	Revision uint64
+	// Findings is the number of entries of that configuration that could not be used
+	// as they are. The log names them.
+	Findings int
+	// Rejected is the revision of a later configuration that could not be read, zero
+	// for none, and RejectedReason why.
+	Rejected       uint64 `json:",omitempty"`
+	RejectedReason string `json:",omitempty"`
 	// ProofAge is the time since the proof of freshness of the configuration.
 	ProofAge string
 	Ready    bool
@@ -100,8 +107,10 @@
 		InFlight: n.server.InFlight(), DroppedEvents: n.droppedEvents.Load(),
 	}
 	status.Revision, _ = n.controller.Revisions()
+	status.Rejected, status.RejectedReason = n.recordCache.rejected.revision, n.recordCache.rejected.reason
 	if snapshot := n.state.snapshot.Load(); snapshot != nil {
 		status.Version = snapshot.Version()
+		status.Findings = len(snapshot.Inventory().Findings)
 	}
 	if age, ok := n.state.proofAge(); ok {
 		status.ProofAge = age.String()
--- a/node/state.go
+++ b/node/state.go
@@ -14,6 +14,9 @@
 // keys. It covers the time between the check and the arrival at the target.
 const revokeMargin = 500 * time.Millisecond
 
+// maxLoggedFindings is the number of findings of one configuration that are logged.
+const maxLoggedFindings = 20
+
 // requestState holds the state that requests read. The loop writes it.
 type requestState struct {
 	clock    ferry.Clock
@@ -66,6 +69,26 @@
 	log            *slog.Logger
 	targets        map[string]decodedTarget
 	configRevision uint64
+	// rejected is the last configuration record that could not be used, or the zero
+	// rejection after one that could.
+	rejected rejection
+	// rejections counts the configuration records that could not be used.
+	rejections int
+}
+
+// rejection is a configuration record that could not be used.
+type rejection struct {
+	revision uint64
+	reason   string
+}
+
+// decodedRecords is what the published records amount to.
+type decodedRecords struct {
+	// inventory is nil unless the configuration is new and can be used.
+	inventory *ferry.Inventory
+	targets   []ferry.Target
+	// evacuated holds the places that operators asked to evacuate.
+	evacuated map[ferry.PlaceID]bool
 }
 
 // decodedTarget is the result of decoding the record of a target.
@@ -75,36 +98,53 @@
 	isUsable bool
 }
 
-// decode returns the targets, and the inventory if its revision is new.
-func (c *recordCache) decode(records []ferry.Record) (inventory *ferry.Inventory, targets []ferry.Target) {
+// decode decodes the records. Only a configuration of a new revision is decoded.
+func (c *recordCache) decode(records []ferry.Record) decodedRecords {
+	decoded := decodedRecords{evacuated: map[ferry.PlaceID]bool{}}
 	next := make(map[string]decodedTarget, len(records))
 	for _, record := range records {
 		if c.decoder.IsInventory(record) {
 			if record.Revision > c.configRevision {
 				c.configRevision = record.Revision
-				inventory = c.inventory(record)
+				decoded.inventory = c.inventory(record)
 			}
 			continue
 		}
+		if place, ok := c.decoder.Evacuation(record); ok {
+			decoded.evacuated[place] = true
+			continue
+		}
 		entry, found := c.targets[record.Key]
 		if !found || entry.revision != record.Revision {
 			entry = c.target(record, found && !entry.isUsable)
 		}
 		next[record.Key] = entry
 		if entry.isUsable {
-			targets = append(targets, entry.target)
+			decoded.targets = append(decoded.targets, entry.target)
 		}
 	}
 	c.targets = next
-	return inventory, targets
+	return decoded
 }
 
+// inventory decodes a configuration. One that can't be used leaves the former in
+// force.
 func (c *recordCache) inventory(record ferry.Record) *ferry.Inventory {
 	inventory, _, err := c.decoder.Inventory(record)
 	if err != nil {
-		c.log.Error("configuration record rejected", "revision", record.Revision, "error", err)
+		c.rejections++
+		c.rejected = rejection{revision: record.Revision, reason: err.Error()}
+		c.log.Error("configuration record rejected", "revision", record.Revision, "error", relay.BoundedError(err))
 		return nil
 	}
+	c.rejected = rejection{}
+	for i, finding := range inventory.Findings {
+		if i == maxLoggedFindings {
+			c.log.Warn("further configuration findings not logged", "version", inventory.Version, "count", len(inventory.Findings)-i)
+			break
+		}
+		c.log.Warn("configuration finding", "version", inventory.Version, "rule", finding.Rule, "path", finding.Path, "name", finding.Name, "text", finding.Text)
+	}
 	return inventory
 }
 
--- a/record.go
+++ b/record.go
@@ -80,6 +80,9 @@
 	// Target decodes the entry of a target. ok is false for other records. An
 	// error means that the entry describes no usable target.
 	Target(record Record) (target Target, ok bool, err error)
+	// Evacuation returns the place that a record asks to evacuate. ok is false for
+	// other records.
+	Evacuation(record Record) (place PlaceID, ok bool)
 }
 
 // RequestMetadata is the decoded header of a caller's request.
--- a/relay/filter.go
+++ b/relay/filter.go
@@ -28,6 +28,9 @@
 	if exchange.Route == nil {
 		return deny(f.Freshness, http.StatusNotFound, ferry.ReasonNoRoute, "no route matches")
 	}
+	if exchange.Route.IsBroken {
+		return refuseBroken(ferry.ReasonBrokenRoute, "the route could not be read whole from the configuration")
+	}
 	return next.Handle(ctx, exchange)
 }
 
@@ -80,9 +83,21 @@
 	if exchange.Account = exchange.Snapshot.Account(exchange.Key); exchange.Account == nil {
 		return deny(f.Freshness, http.StatusUnauthorized, ferry.ReasonUnknownKey, "the key belongs to no client account")
 	}
+	if exchange.Account.IsBroken {
+		return refuseBroken(ferry.ReasonBrokenAccount, "the client account could not be read whole from the configuration")
+	}
 	return next.Handle(ctx, exchange)
 }
 
+// refuseBroken refuses a request whose limits the VM does not know. The next
+// configuration may have them.
+func refuseBroken(reason ferry.Reason, detail string) error {
+	return &ferry.RefusalError{
+		Status: http.StatusServiceUnavailable, Reason: reason, Outcome: ferry.OutcomeNotRun,
+		RetryAfter: brokenRetryAfter, Detail: detail,
+	}
+}
+
 // deny refuses a request. The refusal is final, unless the configuration may be
 // old: then the caller may try again.
 func deny(freshness Freshness, status int, reason ferry.Reason, detail string) error {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -29,6 +29,8 @@
 	noTargetRetryAfter = time.Second
 	// staleRetryAfter is the RetryAfter when the configuration may be old.
 	staleRetryAfter = 500 * time.Millisecond
+	// brokenRetryAfter is the RetryAfter when the configuration could not be read whole.
+	brokenRetryAfter = time.Second
 )
 
 // Guard decides whether a request may still be sent.
