place, relay, node: homes of routes and accounts; evacuation of a place

Cause: target choice ignored the homes of routes and client accounts and the operators' requests to evacuate a place, which were decoded but not used. Change: an attempt carries the homes of its route and of its account; both bind, for choices, retries, hedges, trials and asked targets. An evacuated place is left gradually: the part of the requests that avoid it rises evenly from the moment this VM learned of it until 1.5 s before the operators' bound, counted from the last proof of records without it, since the acknowledgment came after that. A VM without such a proof, or with an older one, uses none of these targets at once. While the other places are full, requests stay until the end of that time. MaySend checks again after the connection was opened. Evacuated targets count neither for the floor nor as targets that the place leader keeps in use. Without an allowed target a request gets 503 HomeRegion or Evacuated at once. NextOpening takes the attempt, since a pause outside the homes says nothing; its tests follow the signature.

--- a/conf/node.go
+++ b/conf/node.go
@@ -46,6 +46,9 @@
 	RevokeWithin time.Duration
 	// ApplyWithin is the time within which a configuration is in force on all VMs.
 	ApplyWithin time.Duration
+	// EvacuateWithin is the time within which the targets of an evacuated place get no
+	// more requests.
+	EvacuateWithin time.Duration
 	// GracePeriod is the time between the signal to stop and a forced kill.
 	GracePeriod time.Duration
 	// EntryLifetime is the longest time for which callers keep an entry response.
@@ -62,18 +65,20 @@
 
 // Defaults of Bounds.
 const (
-	DefaultRevokeWithin  = 5 * time.Second
-	DefaultApplyWithin   = 2 * time.Second
-	DefaultGracePeriod   = 6 * time.Second
-	DefaultEntryLifetime = 5 * time.Second
-	DefaultRetryRatio    = 0.1
-	DefaultRetrySlack    = 20.0
+	DefaultRevokeWithin   = 5 * time.Second
+	DefaultApplyWithin    = 2 * time.Second
+	DefaultEvacuateWithin = 5 * time.Second
+	DefaultGracePeriod    = 6 * time.Second
+	DefaultEntryLifetime  = 5 * time.Second
+	DefaultRetryRatio     = 0.1
+	DefaultRetrySlack     = 20.0
 )
 
 // WithDefaults returns b with every zero field replaced by its default.
 func (b Bounds) WithDefaults() Bounds {
 	b.RevokeWithin = cmp.Or(b.RevokeWithin, DefaultRevokeWithin)
 	b.ApplyWithin = cmp.Or(b.ApplyWithin, DefaultApplyWithin)
+	b.EvacuateWithin = cmp.Or(b.EvacuateWithin, DefaultEvacuateWithin)
 	b.GracePeriod = cmp.Or(b.GracePeriod, DefaultGracePeriod)
 	b.EntryLifetime = cmp.Or(b.EntryLifetime, DefaultEntryLifetime)
 	b.RetryRatio = cmp.Or(b.RetryRatio, DefaultRetryRatio)
--- a/node/loop.go
+++ b/node/loop.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,11 +16,18 @@
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/lead"
 	"monsoonferry.org/ferry/lead/leadpb"
+	"monsoonferry.org/ferry/place"
 )
 
 // maxDatagramBytes bounds the datagrams that are read.
 const maxDatagramBytes = 16 << 10
 
+// States of an evacuation in the log and the metrics.
+const (
+	evacuationBegun = "Begun"
+	evacuationEnded = "Ended"
+)
+
 // copyRequested is the event of another VM's request for a copy of the records
 // after a revision. config is the revision of the configuration which that VM has.
 type copyRequested struct {
@@ -158,6 +166,7 @@
 
 // step passes an event to the controller and performs the actions that it returns.
 func (n *Node) step(ctx context.Context, event lead.Event) {
+	n.formerProof, n.hasFormerProof = n.controller.Proof()
 	actions := n.controller.Step(n.clock.Now(), event)
 	if proof, ok := n.controller.Proof(); ok {
 		if current := n.state.proof.Load(); current == nil || *current != proof {
@@ -227,12 +236,38 @@
 	if inventory != nil {
 		n.applyInventory(inventory)
 	}
+	n.applyEvacuations(now, decoded.evacuated)
 	n.chooser.Update(now.Monotonic, targets)
-	n.controller.SetTargets(now, targets)
+	n.controller.SetTargets(now, outsideEvacuated(targets, decoded.evacuated))
 	records, _ := n.controller.Revisions()
 	n.log.Info("records", "revision", records, "targets", len(targets))
 }
 
+// applyEvacuations puts the operators' requests to evacuate places in force.
+func (n *Node) applyEvacuations(now ferry.Moment, evacuated map[ferry.PlaceID]bool) {
+	proofAge := now.LongestSince(n.formerProof)
+	until := place.EvacuationEnd(now.Monotonic, proofAge, n.hasFormerProof, n.state.bounds.Load().EvacuateWithin)
+	records, _ := n.controller.Revisions()
+	for _, change := range n.chooser.SetEvacuated(now.Monotonic, evacuated, until) {
+		state := evacuationBegun
+		if change.IsOver {
+			state = evacuationEnded
+		}
+		n.metrics.GetOrCreateCounter(fmt.Sprintf(`ferry_evacuations_total{state=%q}`, state)).Inc()
+		n.log.Info("evacuation", "place", change.Place, "state", state, "revision", records, "proven", n.hasFormerProof, "proofAge", proofAge,
+			"known", now.Monotonic-change.Since, "completeIn", max(0, change.Until-now.Monotonic))
+	}
+}
+
+// outsideEvacuated returns the targets in places that are not evacuated. Only those are
+// kept in use.
+func outsideEvacuated(targets []ferry.Target, evacuated map[ferry.PlaceID]bool) []ferry.Target {
+	if len(evacuated) == 0 {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(target ferry.Target) bool { return evacuated[target.Place] })
+}
+
 // applyInventory puts an inventory in force if its version is higher.
 func (n *Node) applyInventory(inventory *ferry.Inventory) {
 	if current := n.state.snapshot.Load(); current != nil && current.Version() >= inventory.Version {
--- a/node/node.go
+++ b/node/node.go
@@ -82,10 +82,14 @@
 	traffic       *traffic
 
 	// The loop owns the fields below.
-	controller     *lead.Controller
-	issuer         grant.Issuer
-	recordCache    recordCache
-	listedTargets  map[ferry.TargetID]int64
+	controller    *lead.Controller
+	issuer        grant.Issuer
+	recordCache   recordCache
+	listedTargets map[ferry.TargetID]int64
+	// formerProof is the proof of freshness before the step in progress: records that
+	// this step brought are later.
+	formerProof    ferry.Moment
+	hasFormerProof bool
 	sweptAt        time.Duration
 	reportedStatus lead.StatusChanged
 	isStale        bool
--- a/node/report.go
+++ b/node/report.go
@@ -41,8 +41,19 @@
 	HeldShare     float64
 	InFlight      int64
 	DroppedEvents int64
-	Members       []Member
-	Targets       []TargetStatus
+	// Evacuations are the places whose targets get no more requests.
+	Evacuations []EvacuationStatus
+	Members     []Member
+	Targets     []TargetStatus
+}
+
+// EvacuationStatus is the evacuation of a place as this VM sees it.
+type EvacuationStatus struct {
+	Place ferry.PlaceID
+	// Known is the time since this VM learned of it.
+	Known string
+	// Complete reports that this VM sends no request there any more.
+	Complete bool
 }
 
 // Member is one VM in the view.
@@ -115,6 +126,11 @@
 	if age, ok := n.state.proofAge(); ok {
 		status.ProofAge = age.String()
 	}
+	for _, evacuation := range n.chooser.Evacuations() {
+		status.Evacuations = append(status.Evacuations, EvacuationStatus{
+			Place: evacuation.Place, Known: (now.Monotonic - evacuation.Since).String(), Complete: now.Monotonic >= evacuation.Until,
+		})
+	}
 	for _, vm := range n.controller.View() {
 		status.Members = append(status.Members, Member{Peers: vm.Peers.String(), Place: vm.Place, Ready: vm.Ready, Leaving: vm.Leaving})
 	}
--- a/place/chooser.go
+++ b/place/chooser.go
@@ -32,6 +32,8 @@
 	IsRetryable bool
 	// Bytes is the size of the request plus the average size of a response.
 	Bytes int64
+	// Homes are the regions that may serve the request.
+	Homes Homes
 }
 
 // Pick is a chosen target.
@@ -59,7 +61,11 @@
 
 // targetState is this VM's state of a target.
 type targetState struct {
-	target      ferry.Target
+	target ferry.Target
+	// region is the region of the target's place, or empty if it is unknown.
+	region ferry.RegionID
+	// evacuation is that of the target's place, or nil.
+	evacuation  atomic.Pointer[Evacuation]
 	coldUntil   time.Duration
 	ownRequests atomic.Int32
 	// chosenAt is when this VM last chose the target.
@@ -109,7 +115,7 @@
 	services map[ferry.ServiceID]*service
 }
 
-// Chooser chooses targets. Update, SetFleetLogOdds and List must be called from
+// Chooser chooses targets. Update, SetFleetLogOdds, SetEvacuated and List must be called from
 // one goroutine. The other methods are safe for concurrent use.
 type Chooser struct {
 	place   ferry.PlaceID
@@ -121,6 +127,8 @@
 	// floorBits are the bits of the float64 that SetFloor sets.
 	floorBits atomic.Uint64
 	standings standings
+	// evacuated holds the evacuations in force, ordered by place, or nil.
+	evacuated atomic.Pointer[[]*Evacuation]
 	// seed and choices determine the random part of the costs.
 	seed    uint64
 	choices atomic.Uint64
@@ -145,8 +153,9 @@
 		present[target.ID] = true
 		state := c.states[target.ID]
 		if state == nil || !isSameProcess(state.target, target) {
-			state = &targetState{target: target, coldUntil: now + target.ColdFor, ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
+			state = &targetState{target: target, region: c.regions[target.Place], coldUntil: now + target.ColdFor, ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
 			state.apply(c.standings.get(target.Process()))
+			state.evacuation.Store(findEvacuation(c.evacuations(), target.Place))
 			c.states[target.ID] = state
 		}
 		if target.Leaving {
@@ -251,8 +260,9 @@
 	lowest := time.Duration(math.MaxInt64)
 	var random rand.PCG
 	random.Seed(c.seed, c.choices.Add(1))
+	departure := c.newDeparture(&random)
 	for _, candidate := range s.states {
-		if candidate.isClosed(now) || slices.Contains(attempt.Tried, candidate.target.ID) {
+		if candidate.isClosed(now) || !attempt.Homes.Allow(candidate.region) || slices.Contains(attempt.Tried, candidate.target.ID) {
 			continue
 		}
 		input := c.costInput(now, candidate, serviceTime, averageUse)
@@ -267,6 +277,7 @@
 		if candidate.target.ID == asked && mayUseAsked(input) {
 			cost = -2 * maxJitter
 		}
+		cost += departure.cost(now, candidate)
 		if jittered := cost + time.Duration(random.Uint64()%uint64(maxJitter)); jittered < lowest {
 			lowest = jittered
 			pick = Pick{Target: &candidate.target, Cost: cost, Wait: Wait(input), Distance: input.Distance, LogOdds: input.LogOdds, state: candidate}
--- a/place/notice.go
+++ b/place/notice.go
@@ -101,9 +101,10 @@
 	s.closedUntil.Store(int64(standing.closedUntil))
 }
 
-// isClosed reports whether the target gets no request at now because of its notices.
+// isClosed reports whether the target gets no request at now because of its notices or
+// because its place was evacuated.
 func (s *targetState) isClosed(now time.Duration) bool {
-	return s.isLeaving.Load() || now < time.Duration(s.closedUntil.Load())
+	return s.isLeaving.Load() || now < time.Duration(s.closedUntil.Load()) || s.isEvacuated(now)
 }
 
 // Heed applies the notice of a picked target. A process that is leaving gets no
@@ -136,19 +137,27 @@
 }
 
 // MaySend reports whether a request that picked a target may still be sent to it.
-// Its notices may have arrived while the connection was opened.
-func (c *Chooser) MaySend(now time.Duration, pick Pick) bool { return !pick.state.isClosed(now) }
+// Its notices, or the evacuation of its place, may have come while the connection was
+// opened.
+func (c *Chooser) MaySend(now time.Duration, pick Pick) bool {
+	if pick.state.isClosed(now) {
+		return false
+	}
+	// The entry of the target may have changed since, so that only its place tells.
+	evacuation := findEvacuation(c.evacuations(), pick.Target.Place)
+	return evacuation == nil || now < evacuation.Until
+}
 
-// NextOpening returns the time until the first of the service's targets that asked
-// for a pause takes requests again. ok is false if no target is in a pause.
-func (c *Chooser) NextOpening(now time.Duration, service ferry.ServiceID) (wait time.Duration, ok bool) {
-	s := c.table.Load().services[service]
+// NextOpening returns the time until the first of the targets for an attempt that asked
+// for a pause takes requests again. ok is false if no such target is in a pause.
+func (c *Chooser) NextOpening(now time.Duration, attempt Attempt) (wait time.Duration, ok bool) {
+	s := c.table.Load().services[attempt.Service]
 	if s == nil {
 		return 0, false
 	}
 	wait = math.MaxInt64
 	for _, state := range s.states {
-		if state.isLeaving.Load() {
+		if state.isLeaving.Load() || state.isEvacuated(now) || !attempt.Homes.Allow(state.region) {
 			continue
 		}
 		if until := time.Duration(state.closedUntil.Load()); until > now {
--- a/place/notice_test.go
+++ b/place/notice_test.go
@@ -87,11 +87,11 @@
 			for at := time.Duration(0); at < test.until; at += test.until / 8 {
 				_, ok := chooseOnly(c, at)
 				is.True(!ok)
-				wait, isPaused := c.NextOpening(at, "s")
+				wait, isPaused := c.NextOpening(at, Attempt{Service: "s"})
 				is.True(isPaused)
 				is.Equal(wait, test.until-at)
 			}
-			_, isPaused := c.NextOpening(test.until, "s")
+			_, isPaused := c.NextOpening(test.until, Attempt{Service: "s"})
 			is.True(!isPaused)
 			_, ok := chooseOnly(c, test.until)
 			is.True(ok)
@@ -141,7 +141,7 @@
 	for id := range counts {
 		is.True(pooled[id] == 0)
 	}
-	_, isPaused := c.NextOpening(time.Second, "s")
+	_, isPaused := c.NextOpening(time.Second, Attempt{Service: "s"})
 	is.True(isPaused)
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -27,6 +28,12 @@
 	shedRetryAfter = 300 * time.Millisecond
 	// noTargetRetryAfter is the RetryAfter when a service has no target.
 	noTargetRetryAfter = time.Second
+	// homeRetryAfter is the RetryAfter when no target in the homes takes requests: an
+	// entry of a new or returned target is in force within some seconds.
+	homeRetryAfter = time.Second
+	// evacuatedRetryAfter is the RetryAfter when every allowed target is in an evacuated
+	// place: evacuations last for many seconds.
+	evacuatedRetryAfter = 2 * time.Second
 	// staleRetryAfter is the RetryAfter when the configuration may be old.
 	staleRetryAfter = 500 * time.Millisecond
 	// brokenRetryAfter is the RetryAfter when the configuration could not be read whole.
@@ -191,9 +198,10 @@
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonNotReady, staleRetryAfter, "the configuration may be old")
 	}
 	now := monotonicTime(f.clock)
-	pick, ok := f.chooser.Choose(now, place.Attempt{Service: r.service, Tried: r.tried, IsRetryable: r.isIdempotent, Bytes: r.expectedBytes})
+	wanted := place.Attempt{Service: r.service, Tried: r.tried, IsRetryable: r.isIdempotent, Bytes: r.expectedBytes, Homes: homes(r.exchange)}
+	pick, ok := f.chooser.Choose(now, wanted)
 	if !ok {
-		return f.refuseWithoutTarget(now, r)
+		return f.refuseWithoutTarget(now, r, wanted)
 	}
 	r.tried = append(r.tried, pick.Target.ID)
 	r.inFlight++
@@ -215,16 +223,48 @@
 	return nil
 }
 
+// homes returns the regions that may serve a request.
+func homes(exchange *ferry.Exchange) place.Homes {
+	allowed := place.Homes{Route: exchange.Route.Regions}
+	if exchange.Account != nil {
+		allowed.Account = exchange.Account.Regions
+	}
+	return allowed
+}
+
 // refuseWithoutTarget refuses a request for which no target is left. If targets asked
 // for a pause, the caller may return when the first pause is over. Callers are spread
 // over half of that time more, so that the target does not get them all at once.
-func (f *Forwarder) refuseWithoutTarget(now time.Duration, r *requestState) error {
-	wait, isPaused := f.chooser.NextOpening(now, r.service)
-	if !isPaused {
+func (f *Forwarder) refuseWithoutTarget(now time.Duration, r *requestState, wanted place.Attempt) error {
+	if wait, isPaused := f.chooser.NextOpening(now, wanted); isPaused {
+		wait += rand.N(max(wait/2, shedRetryAfter))
+		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonOverload, wait, "every target asked for a pause")
+	}
+	switch f.chooser.Shortage(now, wanted) {
+	case ferry.ReasonHomeRegion:
+		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonHomeRegion, homeRetryAfter,
+			"no target takes requests in the homes, "+describeHomes(wanted.Homes))
+	case ferry.ReasonEvacuated:
+		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonEvacuated, evacuatedRetryAfter,
+			"every target in the homes is in an evacuated place, "+describeEvacuations(now, f.chooser.Evacuations())+", "+describeHomes(wanted.Homes))
+	default:
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonNoTarget, noTargetRetryAfter, "no target is left")
 	}
-	wait += rand.N(max(wait/2, shedRetryAfter))
-	return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonOverload, wait, "every target asked for a pause")
+}
+
+// describeHomes returns the homes for the log.
+func describeHomes(homes place.Homes) string {
+	return fmt.Sprintf("route %q account %q", homes.Route, homes.Account)
+}
+
+// describeEvacuations returns, for the log, the evacuated places and for how long this
+// VM has known of each.
+func describeEvacuations(now time.Duration, evacuations []place.Evacuation) string {
+	parts := make([]string, len(evacuations))
+	for i, evacuation := range evacuations {
+		parts[i] = fmt.Sprintf("%s since %v", evacuation.Place, now-evacuation.Since)
+	}
+	return strings.Join(parts, " ")
 }
 
 // heed applies what a target stated about itself in its response.
