node: the directory knows the region of a caller that states only its place

Cause: an answer to a caller that stated a place but no region could name VMs of other regions although its own had ready ones; a request on a route with homes would then go to a VM that is neither in a home nor in the caller's region. Change: the region of the place counts where none is stated.

--- a/node/directory.go
+++ b/node/directory.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -40,8 +41,10 @@
 
 // Nearest returns the addresses of ready VMs near the caller: those of its place,
 // with those of its region if its place has too few, or all others if there is
-// none of either. It never returns a VM that is leaving.
+// none of either. It never returns a VM that is leaving. A place whose targets are
+// evacuated keeps its VMs: they connect to the targets of other places.
 func Nearest(view []lead.VM, regions ferry.Regions, place ferry.PlaceID, region ferry.RegionID) []netip.AddrPort {
+	region = cmp.Or(region, regions[place])
 	var inPlace, inRegion, others []netip.AddrPort
 	for _, vm := range view {
 		if !vm.Ready || vm.Leaving {
