relay, node: tests of homes and evacuation on the request path

Cause: the choice was tested, not what a caller gets and what the records bring about. The harness gets a route and an account with homes and keeps its metrics; its other routes are as before.

--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -196,6 +196,7 @@
 	guard      *testGuard
 	targets    []*testTargetServer
 	limiter    atomic.Pointer[slowLimiter]
+	metrics    *metrics.Set
 }
 
 // Admit implements ferry.Limiter. Without a limiter it admits every request.
@@ -223,13 +224,18 @@
 			{ID: "safe", PathPrefix: "/safe/", Service: "service", Kind: ferry.KindSafe, Deadline: 2 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2, Open: true},
 			{ID: "unsafe", PathPrefix: "/unsafe/", Service: "service", Kind: ferry.KindUnsafe, Deadline: 600 * time.Millisecond, Objective: 200 * time.Millisecond, Attempts: 2, Open: true},
 			{ID: "upload", PathPrefix: "/upload/", Service: "service", Kind: ferry.KindUpload, Deadline: 5 * time.Second, Attempts: 2, Open: true, BodyLimit: 8 << 20},
+			{ID: "homed", PathPrefix: "/homed/", Service: "service", Kind: ferry.KindSafe, Deadline: 2 * time.Second, Objective: 200 * time.Millisecond, Attempts: 3, Open: true, Regions: []ferry.RegionID{"region"}},
 			{ID: "keyed", PathPrefix: "/keyed/", Service: "service", Kind: ferry.KindUnsafe, Deadline: time.Second, Attempts: 2},
 		},
-		Accounts: []ferry.Account{{ID: "account", Rate: 1000, Burst: 1000, Keys: []ferry.KeyHash{key}}},
+		Accounts: []ferry.Account{
+			{ID: "account", Rate: 1000, Burst: 1000, Keys: []ferry.KeyHash{key}},
+			{ID: "homed", Rate: 1000, Burst: 1000, Keys: []ferry.KeyHash{ferry.HashKey("homed")}, Regions: []ferry.RegionID{"other"}},
+		},
 	}
 	log := slog.New(slog.DiscardHandler)
 	clock := ferry.NewSystemClock()
-	counters := NewMetrics(metrics.NewSet())
+	h.metrics = metrics.NewSet()
+	counters := NewMetrics(h.metrics)
 	forwarder := NewForwarder(clock, testDialect{}, h.chooser, h.budgets, &Pool{}, h.guard, testReporter{}, log, counters)
 	chain := ferry.Chain(forwarder, RouteFilter{Freshness: h.guard}, AccountFilter{Freshness: h.guard}, BodyFilter{}, AllowanceFilter{Limiter: h})
 	h.server = NewServer(chain, testSnapshots{view: conf.NewSnapshot(inventory)}, testDialect{}, clock, log, counters)
