--- a/node/loop.go
+++ b/node/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -245,17 +246,21 @@
 
 // applyEvacuations puts the operators' requests to evacuate places in force.
 func (n *Node) applyEvacuations(now ferry.Moment, evacuated map[ferry.PlaceID]bool) {
-	proofAge := now.LongestSince(n.formerProof)
+	proofAge := time.Duration(0)
+	if n.hasFormerProof {
+		proofAge = now.LongestSince(n.formerProof)
+	}
 	until := place.EvacuationEnd(now.Monotonic, proofAge, n.hasFormerProof, n.state.bounds.Load().EvacuateWithin)
 	records, _ := n.controller.Revisions()
+	places := slices.Sorted(maps.Keys(evacuated))
 	for _, change := range n.chooser.SetEvacuated(now.Monotonic, evacuated, until) {
 		state := evacuationBegun
 		if change.IsOver {
 			state = evacuationEnded
 		}
 		n.metrics.GetOrCreateCounter(fmt.Sprintf(`ferry_evacuations_total{state=%q}`, state)).Inc()
-		n.log.Info("evacuation", "place", change.Place, "state", state, "revision", records, "proven", n.hasFormerProof, "proofAge", proofAge,
-			"known", now.Monotonic-change.Since, "completeIn", max(0, change.Until-now.Monotonic))
+		n.log.Info("evacuation", "place", change.Place, "state", state, "revision", records, "evacuated", places, "proven", n.hasFormerProof,
+			"proofAge", proofAge, "known", now.Monotonic-change.Since, "completeIn", max(0, change.Until-now.Monotonic))
 	}
 }
 
--- a/place/doc.go
+++ b/place/doc.go
@@ -23,6 +23,12 @@
 // can be sent again, or any request if it is sound, once. So healthy targets stay in
 // use at low rates, and suspects are found healthy again.
 //
+// An attempt names its homes, the regions that may serve it; no other target is
+// considered, and without one there the request is refused. A place that operators
+// evacuate is left evenly over the time that their bound allows: an increasing part of
+// the choices adds a cost to its targets, and at the end nobody chooses them. See
+// docs/design/homes.md.
+//
 // # Usage
 //
 //	chooser.Update(now, targets)
--- a/place/evacuation.go
+++ b/place/evacuation.go
@@ -11,8 +11,9 @@
 
 const (
 	// evacuationMargin is the time before the operators' bound at which this VM sends
-	// its last request to an evacuated place. A request takes that long to arrive when
-	// its packets are lost, or when the VM is suspended between decision and sending.
+	// its last request to an evacuated place: for half a second the request may be on
+	// its way, and for a second a store that forgets its history may have proven records
+	// current that were not.
 	evacuationMargin = 1500 * time.Millisecond
 	// evacuationCost is added to the cost of a target for a request that leaves its
 	// place. It exceeds the cost of another region. A request for which the others cost
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -246,25 +246,15 @@
 			"no target takes requests in the homes, "+describeHomes(wanted.Homes))
 	case ferry.ReasonEvacuated:
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonEvacuated, evacuatedRetryAfter,
-			"every target in the homes is in an evacuated place, "+describeEvacuations(now, f.chooser.Evacuations())+", "+describeHomes(wanted.Homes))
+			"every target in the homes is in an evacuated place, "+describeHomes(wanted.Homes))
 	default:
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonNoTarget, noTargetRetryAfter, "no target is left")
 	}
 }
 
-// describeHomes returns the homes for the log.
+// describeHomes returns the homes for the log. Empty lists allow every region.
 func describeHomes(homes place.Homes) string {
-	return fmt.Sprintf("route %q account %q", homes.Route, homes.Account)
-}
-
-// describeEvacuations returns, for the log, the evacuated places and for how long this
-// VM has known of each.
-func describeEvacuations(now time.Duration, evacuations []place.Evacuation) string {
-	parts := make([]string, len(evacuations))
-	for i, evacuation := range evacuations {
-		parts[i] = fmt.Sprintf("%s since %v", evacuation.Place, now-evacuation.Since)
-	}
-	return strings.Join(parts, " ")
+	return fmt.Sprintf("route %v account %v", homes.Route, homes.Account)
 }
 
 // heed applies what a target stated about itself in its response.
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -5,7 +5,7 @@
 //
 // Each VM writes one JSON object per line. A line with the field "request" is an
 // event of that request. Lines without it report changes in the state of a VM: its
-// configuration, records and their freshness, leader, view and readiness. A
+// configuration, records and their freshness, evacuations, leader, view and readiness. A
 // timeline holds the events in order of time, each with the state of its VM and the
 // age of that state.
 //
@@ -42,7 +42,7 @@
 
 // stateMessages are the messages of lines that report the state of a VM, in the
 // order in which Write prints them.
-var stateMessages = []string{startMessage, "configuration", "freshness", "records", "lead", "view", "store not read", "readiness", "drain started"}
+var stateMessages = []string{startMessage, "configuration", "freshness", "records", "evacuation", "lead", "view", "store not read", "readiness", "drain started"}
 
 // Line is one log line.
 type Line struct {
@@ -179,7 +179,7 @@
 }
 
 // durationFields are the fields whose values are nanoseconds.
-var durationFields = []string{"took", "cost", "age", "retryAfter"}
+var durationFields = []string{"took", "cost", "age", "retryAfter", "proofAge", "known", "completeIn"}
 
 // formatValue formats the value of a field, durations to the microsecond.
 func formatValue(name string, value any) string {
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -46,3 +46,18 @@
 		_, _ = parseLine(text)
 	})
 }
+
+// The timeline of a refused request shows the evacuation that its VM knew of.
+func TestTimelineShowsEvacuation(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	timeline, err := Read("x", strings.NewReader(
+		`{"time":"2026-03-10T20:20:56Z","msg":"evacuation","vm":"a","place":"p","state":"Begun","evacuated":["p"],"completeIn":2500000000}
+{"time":"2026-03-10T20:20:59Z","msg":"refused","vm":"a","request":"x","reason":"Evacuated"}
+`))
+	is.NoErr(err)
+	var text strings.Builder
+	is.NoErr(timeline.Write(&text))
+	is.True(strings.Contains(text.String(), "reason=Evacuated"))
+	is.True(strings.Contains(text.String(), "evacuation, 3s before: completeIn=2.5s evacuated=[p] place=p state=Begun"))
+}
