--- a/place/chooser.go
+++ b/place/chooser.go
@@ -62,8 +62,8 @@
 // targetState is this VM's state of a target.
 type targetState struct {
 	target ferry.Target
-	// region is the region of the target's place, or empty if it is unknown.
-	region ferry.RegionID
+	// region is the bit of the region of the target's place, or empty if it is unknown.
+	region regionSet
 	// evacuation is that of the target's place, or nil.
 	evacuation  atomic.Pointer[Evacuation]
 	coldUntil   time.Duration
@@ -120,8 +120,10 @@
 type Chooser struct {
 	place   ferry.PlaceID
 	regions ferry.Regions
-	table   atomic.Pointer[serviceTable]
-	states  map[ferry.TargetID]*targetState
+	// regionBits identifies each region by a bit. It is immutable.
+	regionBits map[ferry.RegionID]regionSet
+	table      atomic.Pointer[serviceTable]
+	states     map[ferry.TargetID]*targetState
 	// placeVMs is the number of VMs that serve in this VM's place.
 	placeVMs atomic.Int32
 	// floorBits are the bits of the float64 that SetFloor sets.
@@ -137,7 +139,7 @@
 
 // NewChooser returns the chooser of a VM in the place.
 func NewChooser(place ferry.PlaceID, regions ferry.Regions) *Chooser {
-	c := &Chooser{place: place, regions: regions, states: map[ferry.TargetID]*targetState{}}
+	c := &Chooser{place: place, regions: regions, regionBits: regionBits(regions), states: map[ferry.TargetID]*targetState{}}
 	c.table.Store(&serviceTable{services: map[ferry.ServiceID]*service{}})
 	return c
 }
@@ -153,7 +155,7 @@
 		present[target.ID] = true
 		state := c.states[target.ID]
 		if state == nil || !isSameProcess(state.target, target) {
-			state = &targetState{target: target, region: c.regions[target.Place], coldUntil: now + target.ColdFor, ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
+			state = &targetState{target: target, region: c.regionBits[c.regions[target.Place]], coldUntil: now + target.ColdFor, ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
 			state.apply(c.standings.get(target.Process()))
 			state.evacuation.Store(findEvacuation(c.evacuations(), target.Place))
 			c.states[target.ID] = state
@@ -260,9 +262,9 @@
 	lowest := time.Duration(math.MaxInt64)
 	var random rand.PCG
 	random.Seed(c.seed, c.choices.Add(1))
-	departure := c.newDeparture(&random)
+	reach, departure := c.reachOf(attempt.Homes), c.newDeparture(&random)
 	for _, candidate := range s.states {
-		if candidate.isClosed(now) || !attempt.Homes.Allow(candidate.region) || slices.Contains(attempt.Tried, candidate.target.ID) {
+		if candidate.isClosed(now) || !reach.includes(candidate) || slices.Contains(attempt.Tried, candidate.target.ID) {
 			continue
 		}
 		input := c.costInput(now, candidate, serviceTime, averageUse)
--- a/place/evacuation_test.go
+++ b/place/evacuation_test.go
@@ -48,10 +48,16 @@
 	*v = testView{place: v.place, chooser: NewChooser(v.place, regions)}
 }
 
+// allows reports whether both lists of homes allow the region.
+func allows(homes Homes, region ferry.RegionID) bool {
+	return (len(homes.Route) == 0 || slices.Contains(homes.Route, region)) &&
+		(len(homes.Account) == 0 || slices.Contains(homes.Account, region))
+}
+
 // checkSend checks a request that v sends at now, after its choice or later.
 func (m *evacuationModel) checkSend(t *rapid.T, v *testView, pick Pick, homes Homes) {
 	region := regions[pick.Target.Place]
-	if !homes.Allow(region) {
+	if !allows(homes, region) {
 		t.Fatalf("sent to %s outside the homes %v", region, homes)
 	}
 	// A VM that has not been in touch since the acknowledgment can't know of it.
@@ -130,7 +136,7 @@
 func (m *evacuationModel) checkRefusal(t *rapid.T, v *testView, attempt Attempt) {
 	inHomes, open := 0, 0
 	for _, view := range v.chooser.List(m.now) {
-		if !attempt.Homes.Allow(regions[view.Target.Place]) {
+		if !allows(attempt.Homes, regions[view.Target.Place]) {
 			continue
 		}
 		inHomes++
@@ -308,6 +314,31 @@
 	is.Equal(c.Shortage(0, Attempt{Service: "other"}), ferry.ReasonNoTarget)
 }
 
+// Regions beyond those that have a bit, and places without a region, are in no home.
+func TestRegionsBeyondTheLimit(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	many, list := ferry.Regions{}, []ferry.Target(nil)
+	for i := range maxRegions + 6 {
+		place := ferry.PlaceID(fmt.Sprintf("p%03d", i))
+		many[place] = ferry.RegionID("r" + place)
+		list = append(list, targets(place, 1)...)
+	}
+	c := NewChooser("p000", many)
+	c.Update(0, append(list, targets("nowhere", 1)...))
+	served := 0
+	for place, region := range many {
+		pick, ok := c.Choose(0, Attempt{Service: "s", Homes: Homes{Route: []ferry.RegionID{region}}})
+		if ok {
+			is.Equal(pick.Target.Place, place)
+			served++
+		}
+	}
+	is.Equal(served, maxRegions)
+	_, ok := c.Choose(0, Attempt{Service: "s", Homes: Homes{Route: []ferry.RegionID{""}}})
+	is.True(!ok)
+}
+
 // BenchmarkChoose measures a choice, without and with homes and an evacuation in
 // progress. The homes allow all targets, so that none is skipped.
 func BenchmarkChoose(b *testing.B) {
--- a/place/notice.go
+++ b/place/notice.go
@@ -155,9 +155,10 @@
 	if s == nil {
 		return 0, false
 	}
+	reach := c.reachOf(attempt.Homes)
 	wait = math.MaxInt64
 	for _, state := range s.states {
-		if state.isLeaving.Load() || state.isEvacuated(now) || !attempt.Homes.Allow(state.region) {
+		if state.isLeaving.Load() || state.isEvacuated(now) || !reach.includes(state) {
 			continue
 		}
 		if until := time.Duration(state.closedUntil.Load()); until > now {
