relay: an upload that is answered early arrives whole

Cause: writeRest reads the rest of a body of more than 1 MB in a goroutine. As the response to the caller began, package http discarded up to 256 KB of the same body, and writeRest sent on behind the gap. With a short response the target's connection was closed, but the response waited for 256 KB more of the caller, while writeRest read as well; so did the refusal at the deadline. Change: while an attempt reads the body, the response begins in full duplex, which keeps package http from reading, and closes the caller's connection. The rest of a body is a bodyRest: before the handler returns, a read in progress is interrupted and awaited, and further reads fail, so that the target gets the body, or a body that is cut. After a failed write no rest is sent and the connection is not reused. The tests' VM listens as a real one does (drain.Listener), which keeps a closing response from being reset. Ruled out: stopping the upload at once, since targets drop a request when its connection closes.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -141,34 +141,28 @@
 		}
 	}
 	var sending chan error
-	if body.rest != nil {
+	if err == nil && body.rest != nil {
 		sending = make(chan error, 1)
+		body.rest.start()
 		go func() { sending <- f.writeRest(connection, body) }()
 	}
 	f.readResponse(exchange, connection, a)
-	if sending != nil {
-		endSending(connection, sending, a)
+	if a.response != nil && (err != nil || !isSent(sending)) {
+		// The target would read the next request as the rest of the body.
+		release := a.response.release
+		a.response.release = func(bool) { release(false) }
 	}
 }
 
-// endSending stops the sending of a long body when no response came. It keeps
-// a connection whose response came before the end of the body from being
-// reused: the target would read the next request as the rest of the body.
-func endSending(connection *conn, sending chan error, a *attempt) {
+// isSent reports whether the rest of a body was sent whole, if there is one. The sending
+// of one whose response came early goes on until the response is released.
+func isSent(sending chan error) bool {
 	select {
 	case err := <-sending:
-		if err == nil || a.response == nil {
-			return
-		}
+		return err == nil
 	default:
+		return sending == nil
 	}
-	if a.response == nil {
-		discard(connection)
-		<-sending
-		return
-	}
-	release := a.response.release
-	a.response.release = func(bool) { release(false) }
 }
 
 // writeRest sends the unsent part of a body that isn't wholly buffered.
--- /dev/null
+++ b/relay/early_test.go
@@ -0,0 +1,298 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// earlyAfter is how much of a body a target reads before an early response, in bytes.
+	earlyAfter = 64 << 10
+	// earlyPause is the pause of a caller that sends a body for longer than its target
+	// takes to respond.
+	earlyPause = time.Millisecond
+)
+
+// receivedBody is what a target got where the body of a request was due.
+type receivedBody struct {
+	body []byte
+	err  error
+}
+
+// startEarlyTarget starts a target that reads earlyAfter bytes of a body, sends the
+// first part of its response, reads on to the end of the body, and sends the rest.
+func startEarlyTarget(t *testing.T, response string, first int) (*testTargetServer, chan receivedBody) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	received := make(chan receivedBody, 1)
+	go func() {
+		conn, acceptErr := listener.Accept()
+		if acceptErr != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		request, readErr := http.ReadRequest(bufio.NewReader(conn))
+		if readErr != nil {
+			return
+		}
+		var body bytes.Buffer
+		_, _ = io.CopyN(&body, request.Body, earlyAfter)
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n%s",
+				testID, request.Header.Get(testID), testSigned, len(response), response[:first])
+		}()
+		_, readErr = io.Copy(&body, request.Body)
+		<-sent
+		_, _ = io.WriteString(conn, response[first:])
+		received <- receivedBody{body: body.Bytes(), err: readErr}
+	}()
+	target := startTarget(t, "a", respondOK)
+	target.target.Address = listener.Addr().(*net.TCPAddr).AddrPort()
+	return target, received
+}
+
+// numberedBody returns a body no two pieces of which are equal.
+func numberedBody(size int) []byte {
+	var body bytes.Buffer
+	for i := 0; body.Len() < size; i++ {
+		fmt.Fprintf(&body, "%09d\n", i)
+	}
+	return body.Bytes()[:size]
+}
+
+// caller is a connection of a caller that sends a long body.
+type caller struct {
+	net.Conn
+	isChunked bool
+	// pause is the time between two pieces of the body.
+	pause time.Duration
+}
+
+// startUpload sends the head of an upload of size bytes, in chunks or with a length.
+// lines are additional header lines.
+func (h *harness) startUpload(t *testing.T, size int, isChunked bool, lines ...string) caller {
+	t.Helper()
+	conn, err := net.Dial("tcp4", h.httpServer.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err = conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	lines = append(lines, testID+": id")
+	if isChunked {
+		lines = append(lines, "Transfer-Encoding: chunked")
+	} else {
+		lines = append(lines, fmt.Sprintf("Content-Length: %d", size))
+	}
+	if _, err = fmt.Fprintf(conn, "POST /upload/x HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n", strings.Join(lines, "\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	return caller{Conn: conn, isChunked: isChunked}
+}
+
+// send sends a part of the body.
+func (c caller) send(body []byte) error {
+	for len(body) > 0 {
+		piece := body[:min(chunkSize, len(body))]
+		body = body[len(piece):]
+		framed := piece
+		if c.isChunked {
+			framed = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+		}
+		if _, err := c.Write(framed); err != nil {
+			return err
+		}
+		time.Sleep(c.pause)
+	}
+	return nil
+}
+
+// end sends the end of the body.
+func (c caller) end() error {
+	if !c.isChunked {
+		return nil
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err
+}
+
+// A target that responds before it has read a long body, with more than is buffered of
+// a response, and reads on, gets the whole body. The caller gets the whole response.
+func TestEarlyLongResponse(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name      string
+		size      int
+		isChunked bool
+	}{
+		{"chunks", 3 << 20, true},
+		{"length", 3 << 20, false},
+		// Package http discards the unread part of a body with a length if it is short.
+		{"short rest", maxBufferedRequest + 12*chunkSize, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			response := strings.Repeat("response\n", 600<<10/9)
+			target, received := startEarlyTarget(t, response, 400<<10)
+			h := newHarness(t, target)
+			body := numberedBody(c.size)
+			caller := h.startUpload(t, c.size, c.isChunked)
+			caller.pause = earlyPause
+			sent := make(chan error, 1)
+			go func() {
+				err := caller.send(body)
+				if err == nil {
+					err = caller.end()
+				}
+				sent <- err
+			}()
+			reader := bufio.NewReader(caller)
+			got, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			is.Equal(got.StatusCode, http.StatusOK)
+			text, err := io.ReadAll(got.Body)
+			is.NoErr(err)
+			is.True(string(text) == response)
+			is.NoErr(<-sent)
+			at := <-received
+			is.NoErr(at.err)
+			is.Equal(len(at.body), c.size)
+			is.True(bytes.Equal(at.body, body))
+		})
+	}
+}
+
+// A caller gets a short response that comes before the end of a long body at once,
+// though it sends no more. Then its connection is closed, and the target gets a body
+// that is cut, and no other bytes.
+func TestEarlyShortResponse(t *testing.T) {
+	t.Parallel()
+	for _, isChunked := range []bool{false, true} {
+		t.Run(fmt.Sprint("chunks ", isChunked), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const size = 3 << 20
+			target, received := startEarlyTarget(t, "stored", len("stored"))
+			h := newHarness(t, target)
+			body := numberedBody(size)
+			caller := h.startUpload(t, size, isChunked)
+			is.NoErr(caller.send(body[:maxBufferedRequest+2*chunkSize]))
+			is.NoErr(caller.SetReadDeadline(time.Now().Add(2 * time.Second)))
+			reader := bufio.NewReader(caller)
+			got, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			is.Equal(got.StatusCode, http.StatusOK)
+			is.True(got.Close)
+			text, err := io.ReadAll(got.Body)
+			is.NoErr(err)
+			is.Equal(string(text), "stored")
+			_, err = reader.ReadByte()
+			is.Equal(err, io.EOF)
+			at := <-received
+			is.True(at.err != nil)
+			is.True(bytes.HasPrefix(body, at.body))
+			is.Equal(h.server.InFlight(), int64(0))
+		})
+	}
+}
+
+// A caller that pauses in a long body gets a refusal at the deadline of its request, and
+// no attempt reads its body after that.
+func TestLongBodyPastDeadline(t *testing.T) {
+	t.Parallel()
+	for _, isChunked := range []bool{false, true} {
+		t.Run(fmt.Sprint("chunks ", isChunked), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const size = 3 << 20
+			target := startTarget(t, "a", respondOK)
+			h := newHarness(t, target)
+			caller := h.startUpload(t, size, isChunked, testDeadline+": 1500")
+			is.NoErr(caller.send(numberedBody(size)[:maxBufferedRequest+2*chunkSize]))
+			is.NoErr(caller.SetReadDeadline(time.Now().Add(3 * time.Second)))
+			reader := bufio.NewReader(caller)
+			got, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			is.Equal(got.StatusCode, http.StatusGatewayTimeout)
+			is.True(got.Close)
+			_, err = reader.ReadByte()
+			is.Equal(err, io.EOF)
+			is.Equal(h.server.InFlight(), int64(0))
+		})
+	}
+}
+
+// blockedReader blocks in Read until it is interrupted.
+type blockedReader struct {
+	reads       atomic.Int32
+	interrupted chan struct{}
+}
+
+func (r *blockedReader) Read([]byte) (int, error) {
+	r.reads.Add(1)
+	<-r.interrupted
+	return 0, os.ErrDeadlineExceeded
+}
+
+// The end of a body interrupts a read in progress and waits for it. No read follows.
+func TestBodyRestEnd(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	source := &blockedReader{interrupted: make(chan struct{})}
+	rest := &bodyRest{source: source}
+	rest.start()
+	read := make(chan error, 1)
+	go func() {
+		_, err := rest.Read(make([]byte, 1))
+		read <- err
+	}()
+	for source.reads.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	rest.end(func() { close(source.interrupted) })
+	is.Equal(<-read, os.ErrDeadlineExceeded)
+	_, err := rest.Read(make([]byte, 1))
+	is.Equal(err, os.ErrDeadlineExceeded)
+	is.Equal(source.reads.Load(), int32(1))
+
+	// Without a read in progress, none follows either.
+	source = &blockedReader{}
+	rest = &bodyRest{source: source}
+	rest.start()
+	isInterrupted := false
+	rest.end(func() { isInterrupted = true })
+	is.True(isInterrupted)
+	_, err = rest.Read(make([]byte, 1))
+	is.Equal(err, errBodyEnded)
+	is.Equal(source.reads.Load(), int32(0))
+
+	// A body that was read whole, or that no attempt reads, interrupts nothing.
+	rest = &bodyRest{source: strings.NewReader("")}
+	rest.start()
+	_, err = rest.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	rest.end(func() { t.Error("interrupted") })
+	rest = &bodyRest{source: source}
+	rest.end(func() { t.Error("interrupted") })
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -138,6 +138,7 @@
 		}
 		return trace.Wrap(err, "reading the request body")
 	}
+	defer body.endReading(exchange.Writer)
 	r := &requestState{
 		exchange: exchange, service: f.splitter.chooseService(exchange.Route), body: body,
 		isIdempotent: exchange.Route.IsIdempotent(exchange.Request.Method) && body.isReplayable(),
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -21,6 +21,7 @@
 
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/place"
 )
 
@@ -233,7 +234,11 @@
 	forwarder := NewForwarder(clock, testDialect{}, h.chooser, h.budgets, &Pool{}, h.guard, testReporter{}, log, counters)
 	chain := ferry.Chain(forwarder, RouteFilter{Freshness: h.guard}, AccountFilter{Freshness: h.guard}, BodyFilter{}, AllowanceFilter{Limiter: h})
 	h.server = NewServer(chain, testSnapshots{view: conf.NewSnapshot(inventory)}, testDialect{}, clock, log, counters)
-	h.httpServer = httptest.NewServer(h.server)
+	// As on a VM, the listener keeps a response from being lost when its connection closes.
+	h.httpServer = httptest.NewUnstartedServer(h.server)
+	listener := drain.NewListener(h.httpServer.Listener.(*net.TCPListener))
+	h.httpServer.Listener, h.httpServer.Config.ConnState = listener, listener.SetState
+	h.httpServer.Start()
 	t.Cleanup(h.httpServer.Close)
 	return h
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -34,6 +34,10 @@
 	if a.response.rest == nil {
 		header["Content-Length"] = []string{strconv.Itoa(len(a.response.buffered))}
 	}
+	if err := r.body.beginResponse(writer); err != nil {
+		a.response.release(false)
+		return trace.Wrap(err, "caller")
+	}
 	writer.WriteHeader(status)
 	if _, err := writer.Write(a.response.buffered); err != nil {
 		a.response.release(false)
