node: a configuration is in force before the proof that it is current

Cause: step stored the proof of freshness before the action RecordsChanged had decoded the new configuration. For the time of the decoding, MayRun saw a new proof and the keys of the former configuration. Change: the proof is published after all actions of a step; requests read it before the configuration, so that it is never newer than what they see. Other paths: copies, deltas in heartbeats and proofs of leaders all go through step; a proof is adopted only with the sender's revision.

--- a/node/loop.go
+++ b/node/loop.go
@@ -141,7 +141,7 @@
 
 // logFreshness logs when the configuration becomes stale or current again.
 func (n *Node) logFreshness() {
-	isStale := !n.state.IsCurrent()
+	isStale := !n.state.hasCurrentProof()
 	if isStale == n.isStale {
 		return
 	}
@@ -156,15 +156,10 @@
 	return found && listed == incarnation
 }
 
-// step passes an event to the controller and performs the actions that it returns.
+// step passes an event to the controller, performs the actions that it returns and
+// publishes the proof of freshness.
 func (n *Node) step(ctx context.Context, event lead.Event) {
-	actions := n.controller.Step(n.clock.Now(), event)
-	if proof, ok := n.controller.Proof(); ok {
-		if current := n.state.proof.Load(); current == nil || *current != proof {
-			n.state.proof.Store(&proof)
-		}
-	}
-	for _, action := range actions {
+	for _, action := range n.controller.Step(n.clock.Now(), event) {
 		switch action := action.(type) {
 		case lead.Send:
 			n.sendExchange(action)
@@ -189,9 +184,22 @@
 			n.resetTokens()
 		}
 	}
+	n.publishProof()
 	n.publishTokenServer()
 }
 
+// publishProof publishes the proof of freshness. Its records have to be in force: with
+// a new proof and an old configuration, requests would use withdrawn keys.
+func (n *Node) publishProof() {
+	proof, ok := n.controller.Proof()
+	if !ok {
+		return
+	}
+	if current := n.state.proof.Load(); current == nil || *current != proof {
+		n.state.proof.Store(&proof)
+	}
+}
+
 // publishView publishes the view to the directory and the chooser.
 func (n *Node) publishView() {
 	view := n.controller.View()
--- a/node/state.go
+++ b/node/state.go
@@ -17,12 +17,16 @@
 // maxLoggedFindings is the number of findings of one configuration that are logged.
 const maxLoggedFindings = 20
 
-// requestState holds the state that requests read. The loop writes it.
+// requestState holds the state that requests read. The loop writes it: a configuration
+// before the proof that it is current. Requests read the proof before the configuration
+// in force, so that they never see a proof that is newer than the configuration.
 type requestState struct {
 	clock    ferry.Clock
 	bounds   atomic.Pointer[conf.Bounds]
 	snapshot atomic.Pointer[conf.Snapshot]
 	// proof is the proof of freshness: when the records were last known to be current.
+	// It also holds for a configuration record that could not be used: the former
+	// configuration and its keys stay in force, for as long as that record is the latest.
 	proof atomic.Pointer[ferry.Moment]
 }
 
@@ -44,12 +48,19 @@
 	return s.clock.Now().LongestSince(*proof), true
 }
 
-// IsCurrent implements relay.Freshness.
-func (s *requestState) IsCurrent() bool {
+// hasCurrentProof reports whether the proof of freshness is recent enough for final
+// refusals.
+func (s *requestState) hasCurrentProof() bool {
 	age, ok := s.proofAge()
 	return ok && age < s.bounds.Load().ApplyWithin
 }
 
+// IsCurrent implements relay.Freshness. A configuration that was replaced while the
+// request was handled is not current: the proof may be that of the next one.
+func (s *requestState) IsCurrent(snapshot ferry.Snapshot) bool {
+	return s.hasCurrentProof() && s.Snapshot() == snapshot
+}
+
 // MayRun implements relay.Guard.
 func (s *requestState) MayRun(exchange *ferry.Exchange) bool {
 	if exchange.Account == nil {
@@ -59,6 +70,7 @@
 	if !ok || age >= s.bounds.Load().RevokeWithin-revokeMargin {
 		return false
 	}
+	// The configuration is read after the proof.
 	account := s.snapshot.Load().Account(exchange.Key)
 	return account != nil && account.ID == exchange.Account.ID
 }
--- a/relay/filter.go
+++ b/relay/filter.go
@@ -11,9 +11,9 @@
 
 // Freshness reports whether the VM's configuration is up to date.
 type Freshness interface {
-	// IsCurrent reports whether the VM has all changes but the most recent ones,
-	// so that it may deny an unknown route or key.
-	IsCurrent() bool
+	// IsCurrent reports whether the snapshot is in force and has all changes but the
+	// most recent ones, so that the VM may deny an unknown route or key.
+	IsCurrent(snapshot ferry.Snapshot) bool
 }
 
 // RouteFilter finds the route of a request.
@@ -22,11 +22,11 @@
 // Filter implements ferry.Filter.
 func (f RouteFilter) Filter(ctx context.Context, exchange *ferry.Exchange, next ferry.Handler) error {
 	if limit := exchange.Snapshot.Limits().HeaderBytes; limit > 0 && headerBytes(exchange.Request) > limit {
-		return deny(f.Freshness, http.StatusRequestHeaderFieldsTooLarge, ferry.ReasonHeaderTooLarge, "the header exceeds the limit of the configuration")
+		return deny(f.Freshness, exchange, http.StatusRequestHeaderFieldsTooLarge, ferry.ReasonHeaderTooLarge, "the header exceeds the limit of the configuration")
 	}
 	exchange.Route = exchange.Snapshot.Route(hostName(exchange.Request.Host), requestPath(exchange.Request.RequestURI))
 	if exchange.Route == nil {
-		return deny(f.Freshness, http.StatusNotFound, ferry.ReasonNoRoute, "no route matches")
+		return deny(f.Freshness, exchange, http.StatusNotFound, ferry.ReasonNoRoute, "no route matches")
 	}
 	if exchange.Route.IsBroken {
 		return refuseBroken(ferry.ReasonBrokenRoute, "the route could not be read whole from the configuration")
@@ -77,11 +77,11 @@
 		return next.Handle(ctx, exchange)
 	}
 	if exchange.Metadata.Key == "" {
-		return deny(f.Freshness, http.StatusUnauthorized, ferry.ReasonNoKey, "the route needs a key")
+		return deny(f.Freshness, exchange, http.StatusUnauthorized, ferry.ReasonNoKey, "the route needs a key")
 	}
 	exchange.Key = ferry.HashKey(exchange.Metadata.Key)
 	if exchange.Account = exchange.Snapshot.Account(exchange.Key); exchange.Account == nil {
-		return deny(f.Freshness, http.StatusUnauthorized, ferry.ReasonUnknownKey, "the key belongs to no client account")
+		return deny(f.Freshness, exchange, http.StatusUnauthorized, ferry.ReasonUnknownKey, "the key belongs to no client account")
 	}
 	if exchange.Account.IsBroken {
 		return refuseBroken(ferry.ReasonBrokenAccount, "the client account could not be read whole from the configuration")
@@ -100,8 +100,8 @@
 
 // deny refuses a request. The refusal is final, unless the configuration may be
 // old: then the caller may try again.
-func deny(freshness Freshness, status int, reason ferry.Reason, detail string) error {
-	if !freshness.IsCurrent() {
+func deny(freshness Freshness, exchange *ferry.Exchange, status int, reason ferry.Reason, detail string) error {
+	if !freshness.IsCurrent(exchange.Snapshot) {
 		return &ferry.RefusalError{
 			Status: http.StatusServiceUnavailable, Reason: ferry.ReasonNotReady, Outcome: ferry.OutcomeNotRun,
 			RetryAfter: staleRetryAfter, Detail: detail + ", but the configuration may be old",
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -177,8 +177,8 @@
 // testGuard implements Guard and Freshness. Both refuse while isClosed is set.
 type testGuard struct{ isClosed atomic.Bool }
 
-func (g *testGuard) MayRun(*ferry.Exchange) bool { return !g.isClosed.Load() }
-func (g *testGuard) IsCurrent() bool             { return !g.isClosed.Load() }
+func (g *testGuard) MayRun(*ferry.Exchange) bool   { return !g.isClosed.Load() }
+func (g *testGuard) IsCurrent(ferry.Snapshot) bool { return !g.isClosed.Load() }
 
 type testReporter struct{}
 
