--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -21,6 +21,7 @@
 
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/place"
 )
 
@@ -176,8 +177,8 @@
 // testGuard implements Guard and Freshness. Both refuse while isClosed is set.
 type testGuard struct{ isClosed atomic.Bool }
 
-func (g *testGuard) MayRun(*ferry.Exchange) bool { return !g.isClosed.Load() }
-func (g *testGuard) IsCurrent() bool             { return !g.isClosed.Load() }
+func (g *testGuard) MayRun(*ferry.Exchange) bool   { return !g.isClosed.Load() }
+func (g *testGuard) IsCurrent(ferry.Snapshot) bool { return !g.isClosed.Load() }
 
 type testReporter struct{}
 
@@ -239,7 +240,11 @@
 	forwarder := NewForwarder(clock, testDialect{}, h.chooser, h.budgets, &Pool{}, h.guard, testReporter{}, log, counters)
 	chain := ferry.Chain(forwarder, RouteFilter{Freshness: h.guard}, AccountFilter{Freshness: h.guard}, BodyFilter{}, AllowanceFilter{Limiter: h})
 	h.server = NewServer(chain, testSnapshots{view: conf.NewSnapshot(inventory)}, testDialect{}, clock, log, counters)
-	h.httpServer = httptest.NewServer(h.server)
+	// As on a VM, the listener keeps a response from being lost when its connection closes.
+	h.httpServer = httptest.NewUnstartedServer(h.server)
+	listener := drain.NewListener(h.httpServer.Listener.(*net.TCPListener))
+	h.httpServer.Listener, h.httpServer.Config.ConnState = listener, listener.SetState
+	h.httpServer.Start()
 	t.Cleanup(h.httpServer.Close)
 	return h
 }
