lead: VMs of a first start whose seeds are down no longer each grant everything

Cause: a process started with First counted the size of the fleet as known, so after 3 s without a message it owned 1/1 of every allowance. Any other process did so after a minute.

Change: a VM with other seeds than itself does not know the size until it has met another VM, and, if it granted alone before, until the views had time to arrive. It divides by what a fleet of 32 VMs in six places has in its places (3 places: 16). Without other seeds it knows that it is alone.

Ruled out: 1/32 in any case.

--- a/lead/controller.go
+++ b/lead/controller.go
@@ -53,9 +53,11 @@
 	// before it uses its own share.
 	isolationTimeout = 3 * time.Second
 	// assumedFleetSize is the least size assumed while the fleet size is unknown:
-	// that of the operators' smaller fleet. After fleetSizeKnownAfter no
-	// fleetSizeWindow holds a size from before the start of this process.
+	// that of the operators' smaller fleet, which is in assumedPlaces. After
+	// fleetSizeKnownAfter no fleetSizeWindow holds a size from before the start of
+	// this process.
 	assumedFleetSize    = 32
+	assumedPlaces       = 6
 	fleetSizeKnownAfter = fleetSizeWindow
 	// LeaseTerm is the term of a lease to a place leader. It covers a
 	// subleaseTerm, two heartbeats and a lost one.
@@ -78,7 +80,7 @@
 	// evidence is pushed within its region at once.
 	Regions ferry.Regions
 	// IsFirst reports that the whole fleet starts for the first time, so that no
-	// VM exists outside the view.
+	// VM exists outside the view once this VM has met another.
 	IsFirst bool
 	// TargetHeartbeat is the interval in which targets renew their entries, or zero
 	// for 1.5 s.
@@ -129,8 +131,9 @@
 
 	grantedLease lease
 
-	// hasContact reports that another VM has sent a message.
+	// hasContact reports that another VM has sent a message, first at contactAt.
 	hasContact bool
+	contactAt  time.Duration
 	// isFleetSizeKnown reports that the whole fleet started with this VM, or that
 	// another VM sent the size of the fleet as known.
 	isFleetSizeKnown bool
--- /dev/null
+++ b/lead/division.go
@@ -0,0 +1,72 @@
+package lead
+
+import (
+	"time"
+
+	"monsoonferry.org/ferry"
+)
+
+// Division describes among how many VMs this VM divides the allowances, and why.
+type Division struct {
+	// Divisor is the number of VMs among which the allowances are divided.
+	Divisor int
+	// IsKnown reports that this VM knows the size of the fleet. Otherwise the
+	// Divisor is assumed.
+	IsKnown bool
+	// HasContact reports that another VM has sent a message.
+	HasContact bool
+	// ContactAge is the time since the first message of another VM.
+	ContactAge time.Duration
+	// InView is the number of VMs in the view.
+	InView int
+}
+
+// Division returns the present Division.
+func (c *Controller) Division(now ferry.Moment) Division {
+	division := Division{
+		Divisor: c.denominator(now), IsKnown: c.knowsFleetSize(now.Monotonic), HasContact: c.hasContact, InView: len(c.view),
+	}
+	if c.hasContact {
+		division.ContactAge = now.Monotonic - c.contactAt
+	}
+	return division
+}
+
+// denominator returns the number of VMs among which the allowances are divided.
+func (c *Controller) denominator(now ferry.Moment) int {
+	size := c.FleetSize()
+	if c.knowsFleetSize(now.Monotonic) {
+		return size
+	}
+	return max(size, c.assumedSize())
+}
+
+// assumedSize returns the least size assumed while the fleet size is unknown. A VM that
+// has met nobody may stay so for as long as its seeds are down. It scales the size with
+// the places that its settings list, so that small fleets serve meanwhile.
+func (c *Controller) assumedSize() int {
+	places := len(c.options.Regions)
+	if c.hasContact || places == 0 {
+		return assumedFleetSize
+	}
+	perPlaces := (assumedFleetSize*places + assumedPlaces - 1) / assumedPlaces
+	return max(perPlaces, 1+len(c.seeds))
+}
+
+// knowsFleetSize reports whether this VM knows the size of the fleet. VMs that have
+// all just started may be a part of a larger fleet that they cannot reach. So may be,
+// for as long as it has met nobody, a VM with other seeds than itself, even if the
+// whole fleet starts for the first time.
+func (c *Controller) knowsFleetSize(now time.Duration) bool {
+	if len(c.seeds) > 0 && !c.hasLearnedView(now) {
+		return false
+	}
+	return c.isFleetSizeKnown || now-c.started > fleetSizeKnownAfter
+}
+
+// hasLearnedView reports whether the VMs that this VM met have sent their views. VMs
+// that each granted a share of their own until they met wait for that: their first
+// views have one or two VMs.
+func (c *Controller) hasLearnedView(now time.Duration) bool {
+	return c.hasContact && (c.contactAt-c.started < isolationTimeout || now-c.contactAt > listTimeout)
+}
--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -35,8 +35,9 @@
 		return
 	}
 	l.receivedSequence = exchange.Sequence
-	c.isViewDirty = c.isViewDirty || !c.hasContact
-	c.hasContact = true
+	if !c.hasContact {
+		c.hasContact, c.contactAt, c.isViewDirty = true, now.Monotonic, true
+	}
 	if exchange.IsFleetSizeKnown && !c.isFleetSizeKnown {
 		c.isFleetSizeKnown = true
 		c.fleetSizes.add(now.Monotonic, max(exchange.FleetSize, c.fleetSizes.largest()))
@@ -196,7 +197,7 @@
 	exchange := Exchange{
 		Sequence: c.sequence, Echo: l.receivedSequence, Incarnation: c.self.Incarnation, IsHeartbeat: isHeartbeat,
 		Revision: c.records.Revision(), ConfigRevision: c.records.ConfigRevision(),
-		FleetSize: c.fleetSizes.largest(), IsFleetSizeKnown: c.isFleetSizeKnown || now.Monotonic-c.started > fleetSizeKnownAfter, ReadsStore: c.readsStore(now.Monotonic, to),
+		FleetSize: c.fleetSizes.largest(), IsFleetSizeKnown: c.knowsFleetSize(now.Monotonic), ReadsStore: c.readsStore(now.Monotonic, to),
 	}
 	if l.selfAcked != c.self {
 		exchange.Self, exchange.HasSelf = c.self, true
--- a/lead/lease.go
+++ b/lead/lease.go
@@ -68,17 +68,6 @@
 	return 1 / float64(c.denominator(now))
 }
 
-// denominator returns the number of VMs among which the allowances are divided.
-// VMs that have all just started may be a part of a larger fleet that they
-// cannot reach, so they divide by assumedFleetSize at least.
-func (c *Controller) denominator(now ferry.Moment) int {
-	size := c.FleetSize()
-	if c.isFleetSizeKnown || now.Monotonic-c.started > fleetSizeKnownAfter {
-		return size
-	}
-	return max(size, assumedFleetSize)
-}
-
 // addLease adds a lease to a heartbeat to the primary leader: this VM's share and
 // what followers leased for longer than the term. None is added before a lease to
 // another process has expired.
--- a/node/loop.go
+++ b/node/loop.go
@@ -123,6 +123,7 @@
 	}
 	n.logFreshness()
 	n.logViewSize()
+	n.logDivision(now)
 	n.traffic.log(now.Monotonic, n.log)
 }
 
@@ -215,6 +216,19 @@
 	}
 }
 
+// logDivision logs when this VM divides the allowances among another number of VMs,
+// or learns or no longer knows the size of the fleet.
+func (n *Node) logDivision(now ferry.Moment) {
+	division := n.controller.Division(now)
+	if division.Divisor == n.division.Divisor && division.IsKnown == n.division.IsKnown {
+		return
+	}
+	n.log.Info("allowances divided", "among", division.Divisor, "before", n.division.Divisor, "known", division.IsKnown,
+		"view", division.InView, "met", division.HasContact, "metAgo", division.ContactAge, "share", n.controller.HeldShare(now))
+	n.metrics.GetOrCreateCounter("ferry_allowance_divisions_total").Inc()
+	n.division = division
+}
+
 // publishRecords decodes the records and publishes the inventory and targets.
 func (n *Node) publishRecords() {
 	now := n.clock.Now()
--- a/node/node.go
+++ b/node/node.go
@@ -90,6 +90,7 @@
 	reportedStatus lead.StatusChanged
 	isStale        bool
 	viewSize       int
+	division       lead.Division
 
 	// placeCaches holds the tokens for the VMs of the place that this VM leads.
 	placeCaches   map[ferry.AccountID]*grant.PlaceCache
--- a/node/report.go
+++ b/node/report.go
@@ -37,6 +37,10 @@
 	LeadsPlace bool
 	// FleetSize is the largest recent size of the fleet, in VMs.
 	FleetSize int
+	// AllowanceDivisor is the number of VMs among which this VM divides the allowances.
+	// Unless FleetSizeKnown is set, it is assumed.
+	AllowanceDivisor int
+	FleetSizeKnown   bool
 	// HeldShare is the part of every allowance that this VM may grant, from 0 to 1.
 	HeldShare     float64
 	InFlight      int64
@@ -101,9 +105,11 @@
 func (n *Node) status() Status {
 	now := n.clock.Now()
 	leader, _ := n.controller.Leader()
+	division := n.controller.Division(now)
 	status := Status{
 		ID: n.dependencies.Settings.ID, Place: n.dependencies.Settings.Place, Ready: n.IsReady(), Leaving: n.leaving.Load(),
-		Lead: leader.String(), LeadsPlace: n.controller.LeadsPlace(), FleetSize: n.controller.FleetSize(), HeldShare: n.controller.HeldShare(now),
+		Lead: leader.String(), LeadsPlace: n.controller.LeadsPlace(), FleetSize: n.controller.FleetSize(),
+		AllowanceDivisor: division.Divisor, FleetSizeKnown: division.IsKnown, HeldShare: n.controller.HeldShare(now),
 		InFlight: n.server.InFlight(), DroppedEvents: n.droppedEvents.Load(),
 	}
 	status.Revision, _ = n.controller.Revisions()
