lead: VMs lost without a word go on counting for 30 minutes, so that sides of a partition keep their share

Cause: the size of the fleet was the largest view of the last minute, so each side of a longer partition came to hold everything.

Change: a VM that leaves the view without having said that it leaves counts in the size for lostRetention, or until its address is back in the view. Views pass lost VMs on as removals with their age (new field RemovedLost; VMs of the version before ignore it), so processes started inside a side learn them.

--- a/lead/codec.go
+++ b/lead/codec.go
@@ -54,8 +54,13 @@
 	for _, vm := range exchange.List.VMs {
 		message.VMs = append(message.VMs, encodeVM(vm))
 	}
-	for _, address := range exchange.List.Removed {
-		message.Removed = append(message.Removed, encodeAddress(address))
+	for _, removal := range exchange.List.Removed {
+		message.Removed = append(message.Removed, encodeAddress(removal.Peers))
+		lost := uint32(0)
+		if removal.IsLost {
+			lost = uint32(min(removal.LostFor.Seconds(), math.MaxInt32)) + 1
+		}
+		message.RemovedLost = append(message.RemovedLost, lost)
 	}
 	for _, evidence := range exchange.Evidence {
 		message.Evidence = append(message.Evidence, &leadpb.Evidence{
@@ -97,12 +102,15 @@
 		}
 		exchange.List.VMs = append(exchange.List.VMs, vm)
 	}
-	for _, encoded := range message.GetRemoved() {
-		var address netip.AddrPort
-		if address, err = decodeAddress(encoded); err != nil {
+	for i, encoded := range message.GetRemoved() {
+		var removal Removal
+		if removal.Peers, err = decodeAddress(encoded); err != nil {
 			return Exchange{}, err
 		}
-		exchange.List.Removed = append(exchange.List.Removed, address)
+		if lost := message.GetRemovedLost(); i < len(lost) && lost[i] > 0 {
+			removal.IsLost, removal.LostFor = true, time.Duration(lost[i]-1)*time.Second
+		}
+		exchange.List.Removed = append(exchange.List.Removed, removal)
 	}
 	for _, target := range message.GetUnused() {
 		exchange.Unused = append(exchange.Unused, ferry.TargetID(target))
--- a/lead/controller.go
+++ b/lead/controller.go
@@ -45,7 +45,8 @@
 	listTimeout = 2400 * time.Millisecond
 	// establishedAfter is the age from which a process may be preferred as leader.
 	establishedAfter = 4 * time.Second
-	// fleetSizeWindow is the time over which the largest fleet size is taken.
+	// fleetSizeWindow is the time over which the largest fleet size is taken. It is
+	// longer than a planned stop, in which a VM that leaves still has its share.
 	fleetSizeWindow = time.Minute
 	// contactRetention is how long a VM that left the view is still contacted.
 	contactRetention = time.Minute
@@ -127,6 +128,8 @@
 	seedIndex   int
 	nextSeedAt  time.Duration
 	fleetSizes  sizeWindow
+	// lost holds the VMs that may still run beyond a partition.
+	lost        lostVMs
 	copyRetryAt time.Duration
 
 	grantedLease lease
@@ -155,7 +158,7 @@
 func NewController(now ferry.Moment, self VM, seeds []netip.AddrPort, decoder ferry.RecordDecoder, options Options) *Controller {
 	c := &Controller{
 		self: self, started: now.Monotonic, options: options, decoder: decoder,
-		links: map[netip.AddrPort]*link{}, lastSeen: map[netip.AddrPort]time.Duration{},
+		links: map[netip.AddrPort]*link{}, lost: lostVMs{}, lastSeen: map[netip.AddrPort]time.Duration{},
 		pendingEvidence: map[ferry.TargetID]Evidence{}, sequence: self.Incarnation,
 		evidencePushRegions: map[ferry.RegionID]bool{}, isFleetSizeKnown: options.IsFirst,
 	}
@@ -294,8 +297,8 @@
 // LeadsPlace reports whether this VM is the leader of its place.
 func (c *Controller) LeadsPlace() bool { return c.leadsPlace }
 
-// FleetSize returns the largest recent fleet size seen by this VM or its
-// leaders.
+// FleetSize returns the largest recent fleet size seen by this VM or its leaders,
+// with the VMs that may still run beyond a partition.
 func (c *Controller) FleetSize() int {
 	size := c.fleetSizes.largest()
 	for _, leader := range c.leaders {
--- a/lead/division.go
+++ b/lead/division.go
@@ -19,16 +19,23 @@
 	ContactAge time.Duration
 	// InView is the number of VMs in the view.
 	InView int
+	// Lost is the number of VMs outside the view that may still run beyond a partition,
+	// and LostFor the longest time since one was lost.
+	Lost    int
+	LostFor time.Duration
 }
 
 // Division returns the present Division.
 func (c *Controller) Division(now ferry.Moment) Division {
 	division := Division{
-		Divisor: c.denominator(now), IsKnown: c.knowsFleetSize(now.Monotonic), HasContact: c.hasContact, InView: len(c.view),
+		Divisor: c.denominator(now), IsKnown: c.knowsFleetSize(now.Monotonic), HasContact: c.hasContact, InView: len(c.view), Lost: len(c.lost),
 	}
 	if c.hasContact {
 		division.ContactAge = now.Monotonic - c.contactAt
 	}
+	for _, at := range c.lost {
+		division.LostFor = max(division.LostFor, now.Monotonic-at)
+	}
 	return division
 }
 
--- a/lead/doc.go
+++ b/lead/doc.go
@@ -43,6 +43,11 @@
 // the share is held twice until the lease expires. If a VM waited for that, a
 // fleet that was killed as a whole could not serve for a whole lease term.
 //
+// The share is one part in the size of the fleet. VMs that left the view without
+// having said that they leave go on counting for a limited time, so that the sides of
+// a partition keep what they held. They are passed on with the view. A VM that has met
+// nobody assumes a size (docs/design/allowance-unknown-fleet.md).
+//
 // The Controller is pure: it reads no clock and no socket.
 //
 // # Usage
--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -236,7 +236,7 @@
 // fillHeartbeat adds the fields that only leaders receive.
 func (c *Controller) fillHeartbeat(now ferry.Moment, to netip.AddrPort, l *link, exchange *Exchange) {
 	exchange.AckedListVersion, exchange.EvidenceVersion = l.view.version, l.evidenceVersion
-	exchange.List = c.members.since(l.peerMembersVersion)
+	exchange.List = c.members.since(now.Monotonic, l.peerMembersVersion, nil)
 	l.peerMembersVersion = exchange.List.Version
 	exchange.FleetSize = c.denominator(now)
 	isPrimary := len(c.leaders) > 0 && c.leaders[0] == to
@@ -251,7 +251,7 @@
 func (c *Controller) fillReply(now ferry.Moment, l *link, exchange *Exchange) {
 	exchange.AckedListVersion = l.members.version
 	l.repliedAt, l.repliedMembersVersion = now.Monotonic, l.members.version
-	exchange.List = c.viewList.since(l.peerViewVersion)
+	exchange.List = c.viewList.since(now.Monotonic, l.peerViewVersion, c.lost)
 	exchange.Reader = c.read.reader
 	exchange.IsReleased = c.release(now, l)
 	exchange.EvidenceVersion = c.pool.version
--- a/lead/list.go
+++ b/lead/list.go
@@ -22,8 +22,9 @@
 	isRemoved bool
 }
 
-// update replaces the list and reports whether that changed it.
-func (l *versionedList) update(list []VM) bool {
+// update replaces the list and reports whether that changed it. It adds the removal of
+// lost VMs that the list never had.
+func (l *versionedList) update(list []VM, lost lostVMs) bool {
 	if l.entries == nil {
 		l.entries = map[netip.AddrPort]listEntry{}
 	}
@@ -42,10 +43,15 @@
 			removed = append(removed, address)
 		}
 	}
+	for address := range lost {
+		if _, found := l.entries[address]; !found {
+			removed = append(removed, address)
+		}
+	}
 	slices.SortFunc(removed, netip.AddrPort.Compare)
 	for _, address := range removed {
 		l.version++
-		l.entries[address] = listEntry{vm: l.entries[address].vm, version: l.version, isRemoved: true}
+		l.entries[address] = listEntry{vm: VM{Peers: address}, version: l.version, isRemoved: true}
 	}
 	return l.version != before
 }
@@ -55,8 +61,9 @@
 const maxListedVMs = 64
 
 // since returns the changes after a version, the oldest first and at most
-// maxListedVMs of them. An unknown version stands for zero.
-func (l *versionedList) since(after uint64) ListChange {
+// maxListedVMs of them. An unknown version stands for zero, after which only the
+// removals of lost VMs matter.
+func (l *versionedList) since(now time.Duration, after uint64, lost lostVMs) ListChange {
 	if after > l.version {
 		after = 0
 	}
@@ -65,8 +72,9 @@
 		return change
 	}
 	var changed []listEntry
-	for _, entry := range l.entries {
-		if entry.version > after && (after > 0 || !entry.isRemoved) {
+	for address, entry := range l.entries {
+		_, isLost := lost[address]
+		if entry.version > after && (after > 0 || !entry.isRemoved || isLost) {
 			changed = append(changed, entry)
 		}
 	}
@@ -77,7 +85,12 @@
 	}
 	for _, entry := range changed {
 		if entry.isRemoved {
-			change.Removed = append(change.Removed, entry.vm.Peers)
+			at, isLost := lost[entry.vm.Peers]
+			removal := Removal{Peers: entry.vm.Peers, IsLost: isLost}
+			if isLost {
+				removal.LostFor = now - at
+			}
+			change.Removed = append(change.Removed, removal)
 		} else {
 			change.VMs = append(change.VMs, entry.vm)
 		}
@@ -88,7 +101,10 @@
 // receivedList is a list of VMs that another VM sent. The zero receivedList is
 // empty.
 type receivedList struct {
-	vms     map[netip.AddrPort]VM
+	vms map[netip.AddrPort]VM
+	// lost holds the removed VMs that may still run, and left the others.
+	lost    lostVMs
+	left    map[netip.AddrPort]bool
 	version uint64
 	// completeAt is the monotonic time at which the list was last complete, or zero.
 	completeAt time.Duration
@@ -102,14 +118,24 @@
 	case change.After == 0:
 		isChanged = isChanged || len(l.vms) > 0
 		l.vms = make(map[netip.AddrPort]VM, len(change.VMs))
+		l.lost, l.left = lostVMs{}, map[netip.AddrPort]bool{}
 	case change.After != l.version:
 		return false
 	}
 	for _, vm := range change.VMs {
 		l.vms[vm.Peers] = vm
+		delete(l.lost, vm.Peers)
+		delete(l.left, vm.Peers)
 	}
-	for _, address := range change.Removed {
-		delete(l.vms, address)
+	for _, removal := range change.Removed {
+		delete(l.vms, removal.Peers)
+		delete(l.lost, removal.Peers)
+		delete(l.left, removal.Peers)
+		if removal.IsLost {
+			l.lost[removal.Peers] = now - removal.LostFor
+		} else {
+			l.left[removal.Peers] = true
+		}
 	}
 	l.version = change.Version
 	if !change.IsPartial {
--- a/lead/message.go
+++ b/lead/message.go
@@ -123,11 +123,20 @@
 	After   uint64
 	Version uint64
 	VMs     []VM
-	Removed []netip.AddrPort
+	Removed []Removal
 	// IsPartial reports that more changes follow Version.
 	IsPartial bool
 }
 
+// Removal is a VM that is no longer in a list.
+type Removal struct {
+	Peers netip.AddrPort
+	// IsLost reports that the VM did not say that it leaves, so that it may still run
+	// beyond a partition. LostFor is the time since then.
+	IsLost  bool
+	LostFor time.Duration
+}
+
 // Event is an input of the Controller.
 type Event interface{ isLeadEvent() }
 
--- a/lead/view.go
+++ b/lead/view.go
@@ -81,7 +81,8 @@
 func (c *Controller) updateView(now ferry.Moment) {
 	merged := map[netip.AddrPort]VM{c.self.Peers: c.self}
 	hasOwnPlaceView := c.leadsPlace && now.Monotonic-c.leadsPlaceAt > listTimeout
-	for _, source := range c.viewSources(now.Monotonic) {
+	sources := c.viewSources(now.Monotonic)
+	for _, source := range sources {
 		for _, vm := range source.view.vms {
 			// A place leader has the VMs of its place from their heartbeats. Other
 			// views may repeat what it sent before.
@@ -110,16 +111,18 @@
 	}
 	slices.SortFunc(view, func(a, b VM) int { return a.Peers.Compare(b.Peers) })
 	c.expireLastSeen(now.Monotonic)
-	c.fleetSizes.add(now.Monotonic, len(view))
-	if c.members.update(c.followers(now.Monotonic)) {
+	isChanged := !slices.Equal(view, c.view)
+	isLostLearned := c.updateLost(now.Monotonic, sources, merged, isChanged)
+	c.fleetSizes.add(now.Monotonic, len(view)+len(c.lost))
+	if c.members.update(c.followers(now.Monotonic), nil) {
 		c.isUrgent = true
 	}
-	if slices.Equal(view, c.view) && c.viewList.version > 0 {
+	if !isChanged && !isLostLearned && c.viewList.version > 0 {
 		return
 	}
 	c.isViewPushDue = c.isViewPushDue || servingCount(view) < servingCount(c.view)
 	c.view = view
-	c.viewList.update(view)
+	c.viewList.update(view, c.lost)
 	c.emit(ViewChanged{})
 }
 
--- a/node/loop.go
+++ b/node/loop.go
@@ -224,7 +224,7 @@
 		return
 	}
 	n.log.Info("allowances divided", "among", division.Divisor, "before", n.division.Divisor, "known", division.IsKnown,
-		"view", division.InView, "met", division.HasContact, "metAgo", division.ContactAge, "share", n.controller.HeldShare(now))
+		"view", division.InView, "lost", division.Lost, "lostFor", division.LostFor, "met", division.HasContact, "metAgo", division.ContactAge, "share", n.controller.HeldShare(now))
 	n.metrics.GetOrCreateCounter("ferry_allowance_divisions_total").Inc()
 	n.division = division
 }
--- a/node/report.go
+++ b/node/report.go
@@ -35,12 +35,15 @@
 	Lead     string
 	// LeadsPlace reports that this VM leads the VMs of its place.
 	LeadsPlace bool
-	// FleetSize is the largest recent size of the fleet, in VMs.
+	// FleetSize is the largest recent size of the fleet, in VMs, with LostVMs.
 	FleetSize int
 	// AllowanceDivisor is the number of VMs among which this VM divides the allowances.
 	// Unless FleetSizeKnown is set, it is assumed.
 	AllowanceDivisor int
 	FleetSizeKnown   bool
+	// LostVMs is the number of VMs that count in FleetSize because they may still run
+	// beyond a partition.
+	LostVMs int
 	// HeldShare is the part of every allowance that this VM may grant, from 0 to 1.
 	HeldShare     float64
 	InFlight      int64
@@ -109,7 +112,7 @@
 	status := Status{
 		ID: n.dependencies.Settings.ID, Place: n.dependencies.Settings.Place, Ready: n.IsReady(), Leaving: n.leaving.Load(),
 		Lead: leader.String(), LeadsPlace: n.controller.LeadsPlace(), FleetSize: n.controller.FleetSize(),
-		AllowanceDivisor: division.Divisor, FleetSizeKnown: division.IsKnown, HeldShare: n.controller.HeldShare(now),
+		AllowanceDivisor: division.Divisor, FleetSizeKnown: division.IsKnown, LostVMs: division.Lost, HeldShare: n.controller.HeldShare(now),
 		InFlight: n.server.InFlight(), DroppedEvents: n.droppedEvents.Load(),
 	}
 	status.Revision, _ = n.controller.Revisions()
