--- a/lead/controller.go
+++ b/lead/controller.go
@@ -45,7 +45,8 @@
 	listTimeout = 2400 * time.Millisecond
 	// establishedAfter is the age from which a process may be preferred as leader.
 	establishedAfter = 4 * time.Second
-	// fleetSizeWindow is the time over which the largest fleet size is taken.
+	// fleetSizeWindow is the time over which the largest fleet size is taken. It is
+	// longer than a planned stop, in which a VM that leaves still has its share.
 	fleetSizeWindow = time.Minute
 	// contactRetention is how long a VM that left the view is still contacted.
 	contactRetention = time.Minute
@@ -53,9 +54,11 @@
 	// before it uses its own share.
 	isolationTimeout = 3 * time.Second
 	// assumedFleetSize is the least size assumed while the fleet size is unknown:
-	// that of the operators' smaller fleet. After fleetSizeKnownAfter no
-	// fleetSizeWindow holds a size from before the start of this process.
+	// that of the operators' smaller fleet, which is in assumedPlaces. After
+	// fleetSizeKnownAfter no fleetSizeWindow holds a size from before the start of
+	// this process.
 	assumedFleetSize    = 32
+	assumedPlaces       = 6
 	fleetSizeKnownAfter = fleetSizeWindow
 	// LeaseTerm is the term of a lease to a place leader. It covers a
 	// subleaseTerm, two heartbeats and a lost one.
@@ -78,7 +81,7 @@
 	// evidence is pushed within its region at once.
 	Regions ferry.Regions
 	// IsFirst reports that the whole fleet starts for the first time, so that no
-	// VM exists outside the view.
+	// VM exists outside the view once this VM has met another.
 	IsFirst bool
 	// TargetHeartbeat is the interval in which targets renew their entries, or zero
 	// for 1.5 s.
@@ -125,12 +128,15 @@
 	seedIndex   int
 	nextSeedAt  time.Duration
 	fleetSizes  sizeWindow
+	// lost holds the VMs that may still run beyond a partition.
+	lost        lostVMs
 	copyRetryAt time.Duration
 
 	grantedLease lease
 
-	// hasContact reports that another VM has sent a message.
+	// hasContact reports that another VM has sent a message, first at contactAt.
 	hasContact bool
+	contactAt  time.Duration
 	// isFleetSizeKnown reports that the whole fleet started with this VM, or that
 	// another VM sent the size of the fleet as known.
 	isFleetSizeKnown bool
@@ -152,7 +158,7 @@
 func NewController(now ferry.Moment, self VM, seeds []netip.AddrPort, decoder ferry.RecordDecoder, options Options) *Controller {
 	c := &Controller{
 		self: self, started: now.Monotonic, options: options, decoder: decoder,
-		links: map[netip.AddrPort]*link{}, lastSeen: map[netip.AddrPort]time.Duration{},
+		links: map[netip.AddrPort]*link{}, lost: lostVMs{}, lastSeen: map[netip.AddrPort]time.Duration{},
 		pendingEvidence: map[ferry.TargetID]Evidence{}, sequence: self.Incarnation,
 		evidencePushRegions: map[ferry.RegionID]bool{}, isFleetSizeKnown: options.IsFirst,
 	}
@@ -291,8 +297,8 @@
 // LeadsPlace reports whether this VM is the leader of its place.
 func (c *Controller) LeadsPlace() bool { return c.leadsPlace }
 
-// FleetSize returns the largest recent fleet size seen by this VM or its
-// leaders.
+// FleetSize returns the largest recent fleet size seen by this VM or its leaders,
+// with the VMs that may still run beyond a partition.
 func (c *Controller) FleetSize() int {
 	size := c.fleetSizes.largest()
 	for _, leader := range c.leaders {
--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -35,8 +35,9 @@
 		return
 	}
 	l.receivedSequence = exchange.Sequence
-	c.isViewDirty = c.isViewDirty || !c.hasContact
-	c.hasContact = true
+	if !c.hasContact {
+		c.hasContact, c.contactAt, c.isViewDirty = true, now.Monotonic, true
+	}
 	if exchange.IsFleetSizeKnown && !c.isFleetSizeKnown {
 		c.isFleetSizeKnown = true
 		c.fleetSizes.add(now.Monotonic, max(exchange.FleetSize, c.fleetSizes.largest()))
@@ -196,7 +197,7 @@
 	exchange := Exchange{
 		Sequence: c.sequence, Echo: l.receivedSequence, Incarnation: c.self.Incarnation, IsHeartbeat: isHeartbeat,
 		Revision: c.records.Revision(), ConfigRevision: c.records.ConfigRevision(),
-		FleetSize: c.fleetSizes.largest(), IsFleetSizeKnown: c.isFleetSizeKnown || now.Monotonic-c.started > fleetSizeKnownAfter, ReadsStore: c.readsStore(now.Monotonic, to),
+		FleetSize: c.fleetSizes.largest(), IsFleetSizeKnown: c.knowsFleetSize(now.Monotonic), ReadsStore: c.readsStore(now.Monotonic, to),
 	}
 	if l.selfAcked != c.self {
 		exchange.Self, exchange.HasSelf = c.self, true
@@ -235,7 +236,7 @@
 // fillHeartbeat adds the fields that only leaders receive.
 func (c *Controller) fillHeartbeat(now ferry.Moment, to netip.AddrPort, l *link, exchange *Exchange) {
 	exchange.AckedListVersion, exchange.EvidenceVersion = l.view.version, l.evidenceVersion
-	exchange.List = c.members.since(l.peerMembersVersion)
+	exchange.List = c.members.since(now.Monotonic, l.peerMembersVersion, nil)
 	l.peerMembersVersion = exchange.List.Version
 	exchange.FleetSize = c.denominator(now)
 	isPrimary := len(c.leaders) > 0 && c.leaders[0] == to
@@ -250,7 +251,7 @@
 func (c *Controller) fillReply(now ferry.Moment, l *link, exchange *Exchange) {
 	exchange.AckedListVersion = l.members.version
 	l.repliedAt, l.repliedMembersVersion = now.Monotonic, l.members.version
-	exchange.List = c.viewList.since(l.peerViewVersion)
+	exchange.List = c.viewList.since(now.Monotonic, l.peerViewVersion, c.lost)
 	exchange.Reader = c.read.reader
 	exchange.IsReleased = c.release(now, l)
 	exchange.EvidenceVersion = c.pool.version
--- a/node/evacuation_test.go
+++ b/node/evacuation_test.go
@@ -19,23 +19,6 @@
 	"monsoonferry.org/ferry/platform"
 )
 
-// manualClock is a clock that the test advances.
-type manualClock struct{ now ferry.Moment }
-
-func (c *manualClock) Now() ferry.Moment { return c.now }
-
-// waitingStore answers no call.
-type waitingStore struct{}
-
-func (waitingStore) List(ctx context.Context) (ferry.Listing, error) {
-	<-ctx.Done()
-	return ferry.Listing{}, ctx.Err()
-}
-
-func (s waitingStore) Watch(ctx context.Context, _ uint64, _ time.Duration) (ferry.Listing, error) {
-	return s.List(ctx)
-}
-
 // evacuationNode is a VM in place a whose calls to the store are answered by read.
 type evacuationNode struct {
 	*Node
@@ -45,14 +28,15 @@
 }
 
 func newEvacuationNode() *evacuationNode {
-	n := &evacuationNode{clock: &manualClock{now: ferry.Moment{Monotonic: time.Hour, Wall: time.Hour}}}
+	n := &evacuationNode{clock: &manualClock{}}
+	n.clock.advance(time.Hour)
 	n.Node = New(Dependencies{
 		Settings: conf.NodeSettings{
 			ID: "vm", Place: "a", Regions: ferry.Regions{"a": "north", "b": "north", "c": "south"}, IsFirst: true,
 			Peers: netip.MustParseAddrPort("10.0.0.1:7660"), Callers: netip.MustParseAddrPort("10.0.0.1:80"),
 			Bounds: conf.Bounds{EvacuateWithin: 6 * time.Second}.WithDefaults(),
 		},
-		Clock: n.clock, Log: slog.New(slog.NewTextHandler(&n.log, nil)), Store: waitingStore{}, Decoder: platform.RecordDecoder{},
+		Clock: n.clock, Log: slog.New(slog.NewTextHandler(&n.log, nil)), Store: testStore{}, Decoder: platform.RecordDecoder{},
 	})
 	return n
 }
@@ -69,7 +53,7 @@
 	for _, place := range evacuated {
 		listing.Records = append(listing.Records, ferry.Record{Key: "op/evacuate/" + place, Revision: n.revision, Body: []byte("{}")})
 	}
-	n.step(ctx, lead.ReadEnded{Sent: n.clock.now, Full: true, Listing: listing})
+	n.step(ctx, lead.ReadEnded{Sent: n.clock.Now(), Full: true, Listing: listing})
 }
 
 // An evacuation is complete within the bound of the proof before it, or at once at a VM
@@ -96,23 +80,23 @@
 				n.read(ctx)
 				is.Equal(len(n.status().Evacuations), 0)
 			}
-			n.clock.now = n.clock.now.Add(test.silence)
+			n.clock.advance(test.silence)
 			n.read(ctx, "a")
 			is.Equal(n.status().Evacuations, []EvacuationStatus{{Place: "a", Known: "0s", Complete: test.takes == 0}})
-			n.clock.now = n.clock.now.Add(test.takes)
+			n.clock.advance(test.takes)
 			is.True(n.status().Evacuations[0].Complete)
 			for range 20 {
-				pick, ok := n.chooser.Choose(n.clock.now.Monotonic, place.Attempt{Service: "s"})
+				pick, ok := n.chooser.Choose(n.clock.Now().Monotonic, place.Attempt{Service: "s"})
 				is.True(ok)
 				is.True(pick.Target.Place != "a")
 			}
 			n.read(ctx, "a", "b", "c")
 			is.Equal(len(n.status().Evacuations), 3)
 			n.read(ctx)
-			n.clock.now = n.clock.now.Add(3 * time.Second) // deletions are held after the silence
+			n.clock.advance(3 * time.Second) // deletions are held after the silence
 			n.step(ctx, lead.Tick{})
 			is.Equal(len(n.status().Evacuations), 0)
-			pick, _ := n.chooser.Choose(n.clock.now.Monotonic, place.Attempt{Service: "s"})
+			pick, _ := n.chooser.Choose(n.clock.Now().Monotonic, place.Attempt{Service: "s"})
 			is.Equal(pick.Target.Place, ferry.PlaceID("a"))
 			is.Equal(strings.Count(n.log.String(), "msg=evacuation place=a state=Begun"), 1)
 			is.Equal(strings.Count(n.log.String(), "msg=evacuation place=a state=Ended"), 1)
