drain: TestCloseQuiet waits until the server has reported the end

Change: it waits, at most 1 s, until the server has reported the end of that connection and then demands 1, as before. The listener is unchanged.

--- a/drain/listener_test.go
+++ b/drain/listener_test.go
@@ -21,11 +21,11 @@
 type stoppingServer struct {
 	listener *Listener
 	server   *http.Server
-	// accepted holds the addresses of the accepted connections, and handled the IDs of
-	// the requests.
-	accepted, handled sync.Map
-	isClosing         atomic.Bool
-	served            chan error
+	// accepted and closed hold the addresses of the accepted connections and of those
+	// whose end the server has reported, and handled the IDs of the requests.
+	accepted, closed, handled sync.Map
+	isClosing                 atomic.Bool
+	served                    chan error
 }
 
 func startServer(t *testing.T) *stoppingServer {
@@ -47,6 +47,9 @@
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.accepted.Store(c.RemoteAddr().String(), true)
 			s.listener.SetState(c, state)
+			if state == http.StateClosed {
+				s.closed.Store(c.RemoteAddr().String(), true)
+			}
 		},
 		ReadHeaderTimeout: time.Second,
 	}
@@ -55,6 +58,17 @@
 	return s
 }
 
+// waitClosed waits until the server has reported the end of a caller's connection.
+func (s *stoppingServer) waitClosed(t *testing.T, caller net.Addr) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if _, isClosed := s.closed.Load(caller.String()); isClosed {
+			return
+		}
+	}
+	t.Fatal("the server did not report the end of the connection")
+}
+
 // stop is a planned stop. It reports whether all connections ended.
 func (s *stoppingServer) stop(ctx context.Context) bool {
 	s.isClosing.Store(true)
@@ -243,6 +257,8 @@
 	is.Equal(s.listener.CloseQuiet(quiet), 2)
 	_, err := silent.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
+	// The server reports the end of a connection after its close.
+	s.waitClosed(t, silent.LocalAddr())
 	is.Equal(s.listener.CloseQuiet(quiet), 1)
 	_, err = io.WriteString(partial, "st: h\r\nId: late\r\n\r\n")
 	is.NoErr(err)
