place: the slots of a place's targets are dealt to its VMs; a VM prefers its own

Change: each VM computes from the view and the entries which VM owns which slot: pairs of a target and a VM in the order of a hash, each VM gets its part or one slot more. A slot that it doesn't own costs a fraction of the service time more. No message, no lease. Off unless SlotPreference of the settings is above zero.

--- a/conf/node.go
+++ b/conf/node.go
@@ -37,7 +37,10 @@
 	// TargetHeartbeat is the interval in which targets renew their entries in the
 	// store, or zero for the default.
 	TargetHeartbeat time.Duration
-	Bounds          Bounds
+	// SlotPreference is the extra cost of a target on which this VM owns no unused slot,
+	// as a fraction of the service time. With zero the slots of a place are not dealt.
+	SlotPreference float64
+	Bounds         Bounds
 }
 
 // Bounds are the limits that operators set for a fleet.
--- a/node/loop.go
+++ b/node/loop.go
@@ -100,6 +100,7 @@
 	bounds := settings.Bounds
 	n.state.bounds.Store(&bounds)
 	n.chooser.SetFloor(bounds.Floor)
+	n.chooser.SetSlotPreference(settings.SlotPreference)
 	n.log.Info("settings reloaded", "seeds", len(settings.Seeds))
 	n.step(ctx, lead.SeedsChanged{Seeds: settings.Seeds})
 }
@@ -120,6 +121,7 @@
 	} else {
 		n.step(ctx, lead.Tick{})
 	}
+	n.dealSlots()
 	n.limiter.tick()
 	n.tickPlaceCaches()
 	now := n.clock.Now()
@@ -216,13 +218,14 @@
 	view := n.controller.View()
 	n.directory.SetView(view)
 	n.traffic.setView(view)
-	readyInPlace := 0
+	var readyInPlace []netip.AddrPort
 	for _, vm := range view {
 		if vm.Place == n.dependencies.Settings.Place && vm.Ready && !vm.Leaving {
-			readyInPlace++
+			readyInPlace = append(readyInPlace, vm.Peers)
 		}
 	}
-	n.chooser.SetPlaceVMs(readyInPlace)
+	n.chooser.SetPlaceVMs(len(readyInPlace))
+	n.chooser.SetPeers(n.dependencies.Settings.Peers, readyInPlace)
 }
 
 // logViewSize logs a changed size of the view. It runs at ticks, since the view
--- a/node/report.go
+++ b/node/report.go
@@ -77,9 +77,11 @@
 	Service ferry.ServiceID
 	Place   ferry.PlaceID
 	// Chance is the probability that the target is unhealthy.
-	Chance  float64
-	Own     int
-	Leaving bool
+	Chance float64
+	Own    int
+	// OwnedSlots is the number of its slots that this VM owns.
+	OwnedSlots int `json:",omitempty"`
+	Leaving    bool
 	// SaidLeaving reports that the target said in a response that it is leaving.
 	SaidLeaving bool
 	// Backoff is how long the target gets no request because it asked for a pause.
@@ -146,7 +148,7 @@
 	for _, view := range n.chooser.List(now.Monotonic) {
 		target := TargetStatus{
 			ID: view.Target.ID, Service: view.Target.Service, Place: view.Target.Place,
-			Chance: place.Probability(view.LogOdds), Own: view.OwnRequests, Leaving: view.Target.Leaving, SaidLeaving: view.SaidLeaving,
+			Chance: place.Probability(view.LogOdds), Own: view.OwnRequests, OwnedSlots: view.OwnedSlots, Leaving: view.Target.Leaving, SaidLeaving: view.SaidLeaving,
 		}
 		if view.Backoff > 0 {
 			target.Backoff = view.Backoff.String()
--- a/place/chooser.go
+++ b/place/chooser.go
@@ -46,7 +46,9 @@
 	Distance ferry.Distance
 	// LogOdds are the log odds, at the choice, that the target is unhealthy.
 	LogOdds float64
-	state   *targetState
+	// Slot tells whose slot the request uses.
+	Slot  SlotKind
+	state *targetState
 }
 
 // Report is the result of an attempt.
@@ -70,6 +72,8 @@
 	ownRequests atomic.Int32
 	// chosenAt is when this VM last chose the target.
 	chosenAt atomic.Int64
+	// ownedSlots is the number of slots that this VM owns.
+	ownedSlots atomic.Int32
 	// isUsed reports that usedTargets lists the target.
 	isUsed atomic.Bool
 	// isLeaving and closedUntil are the standing of the target's process.
@@ -135,6 +139,7 @@
 	seed    uint64
 	choices atomic.Uint64
 	used    usedTargets
+	slots   slotPreference
 }
 
 // NewChooser returns the chooser of a VM in the place.
@@ -181,6 +186,7 @@
 		}
 	}
 	c.table.Store(next)
+	c.slots.isDue = true
 	c.standings.expire(now, func(process ferry.TargetProcess) bool {
 		state := c.states[process.ID]
 		return state != nil && state.target.Process() == process
@@ -225,6 +231,8 @@
 // TargetView is the chooser's state of a target.
 type TargetView struct {
 	Target ferry.Target
+	// OwnedSlots is the number of its slots that this VM owns.
+	OwnedSlots int
 	// LogOdds are the log odds that the target is unhealthy.
 	LogOdds float64
 	// OwnRequests is the number of this VM's requests on the target.
@@ -242,6 +250,7 @@
 		list = append(list, TargetView{
 			Target: s.target, LogOdds: s.logOdds(now), OwnRequests: int(s.ownRequests.Load()),
 			SaidLeaving: s.isLeaving.Load(), Backoff: max(0, time.Duration(s.closedUntil.Load())-now),
+			OwnedSlots: int(s.ownedSlots.Load()),
 		})
 	}
 	slices.SortFunc(list, func(a, b TargetView) int { return strings.Compare(string(a.Target.ID), string(b.Target.ID)) })
@@ -272,7 +281,7 @@
 			input.LogOdds = min(input.LogOdds, healthyLogOdds)
 		}
 		input.IsRetryable, input.Bytes = attempt.IsRetryable, attempt.Bytes
-		cost := Cost(input)
+		cost := Cost(input) + c.slotCost(candidate, input)
 		if IsTrialDue(input, now-time.Duration(candidate.chosenAt.Load()), int(c.placeVMs.Load())) {
 			cost = -maxJitter
 		}
@@ -282,7 +291,7 @@
 		cost += departure.cost(now, candidate)
 		if jittered := cost + time.Duration(random.Uint64()%uint64(maxJitter)); jittered < lowest {
 			lowest = jittered
-			pick = Pick{Target: &candidate.target, Cost: cost, Wait: Wait(input), Distance: input.Distance, LogOdds: input.LogOdds, state: candidate}
+			pick = Pick{Target: &candidate.target, Cost: cost, Wait: Wait(input), Distance: input.Distance, LogOdds: input.LogOdds, Slot: c.slotKind(candidate, input), state: candidate}
 		}
 	}
 	if pick.state == nil {
@@ -336,7 +345,7 @@
 		Distance:      c.regions.Distance(c.place, s.target.Place),
 		Slots:         slots,
 		OwnRequests:   int(s.ownRequests.Load()),
-		OtherRequests: estimateOtherRequests(math.Float64frombits(s.otherRequests.Load()), age, averageUse, slots),
+		OtherRequests: estimateOtherRequests(math.Float64frombits(s.otherRequests.Load()), age, averageUse, s.slotsOfOthers(slots)),
 		ServiceTime:   serviceTime,
 		Cold:          now < s.coldUntil,
 		LogOdds:       s.logOdds(now),
@@ -394,7 +403,9 @@
 		return
 	}
 	averageUse := math.Float64frombits(s.averageUse.Load())
-	s.averageUse.Store(math.Float64bits(averageUse + averageUseWeight*(others/float64(max(1, pick.state.slots()))-averageUse)))
+	if slots := pick.state.slotsOfOthers(max(1, pick.state.slots())); slots > 0 {
+		s.averageUse.Store(math.Float64bits(averageUse + averageUseWeight*(others/float64(slots)-averageUse)))
+	}
 	if report.Took <= 0 || report.Verdict != ferry.VerdictGood {
 		return
 	}
--- a/place/evacuation.go
+++ b/place/evacuation.go
@@ -79,6 +79,7 @@
 	}
 	slices.SortFunc(next, func(a, b *Evacuation) int { return strings.Compare(string(a.Place), string(b.Place)) })
 	c.evacuated.Store(&next)
+	c.slots.isDue = true
 	for _, state := range c.states {
 		state.evacuation.Store(findEvacuation(next, state.target.Place))
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -31,7 +31,10 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`ferry_request_duration_seconds{kind=%q}`, kindLabel(route))).Update(took.Seconds())
 }
 
-func (m *Metrics) countAttempt(route *ferry.Route, distance ferry.Distance, a *attempt, took time.Duration) {
+func (m *Metrics) countAttempt(route *ferry.Route, a *attempt, took time.Duration) {
+	distance := a.pick.Distance
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_slot_picks_total{slot=%q,place=%q}`, a.pick.Slot, a.pick.Target.Place)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_connections_total{reused="%t"}`, a.isReused)).Inc()
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_attempts_total{kind=%q,distance=%q,verdict=%q,outcome=%q}`,
 		kindLabel(route), distance, a.verdict, a.outcome)).Inc()
 	if a.verdict == ferry.VerdictGood {
