lead: FleetSize, the number of VMs that operators expect

Cause: where nobody can know the size of the fleet, a VM has to assume one: VMs that have met nobody, and sides that were apart at a start of the whole fleet.

Change: an optional field FleetSize of the settings replaces these assumptions. The template leaves it out, as the platform has no such value.

--- a/conf/node.go
+++ b/conf/node.go
@@ -34,6 +34,8 @@
 	Millicores uint32
 	// IsFirst reports that the whole fleet starts for the first time.
 	IsFirst bool
+	// FleetSize is the number of VMs that operators expect, or zero if unknown.
+	FleetSize int
 	// TargetHeartbeat is the interval in which targets renew their entries in the
 	// store, or zero for the default.
 	TargetHeartbeat time.Duration
--- a/lead/controller.go
+++ b/lead/controller.go
@@ -83,6 +83,9 @@
 	// IsFirst reports that the whole fleet starts for the first time, so that no
 	// VM exists outside the view once this VM has met another.
 	IsFirst bool
+	// FleetSize is the number of VMs that operators expect, or zero if unknown. VMs
+	// that know no better divide the allowances by it.
+	FleetSize int
 	// TargetHeartbeat is the interval in which targets renew their entries, or zero
 	// for 1.5 s.
 	TargetHeartbeat time.Duration
@@ -137,8 +140,8 @@
 	// hasContact reports that another VM has sent a message, first at contactAt.
 	hasContact bool
 	contactAt  time.Duration
-	// isFleetSizeKnown reports that the whole fleet started with this VM, or that
-	// another VM sent the size of the fleet as known.
+	// isFleetSizeKnown reports that the whole fleet, of no expected size, started with
+	// this VM, or that another VM sent the size of the fleet as known.
 	isFleetSizeKnown bool
 
 	pool Pool
@@ -160,7 +163,7 @@
 		self: self, started: now.Monotonic, options: options, decoder: decoder,
 		links: map[netip.AddrPort]*link{}, lost: lostVMs{}, lastSeen: map[netip.AddrPort]time.Duration{},
 		pendingEvidence: map[ferry.TargetID]Evidence{}, sequence: self.Incarnation,
-		evidencePushRegions: map[ferry.RegionID]bool{}, isFleetSizeKnown: options.IsFirst,
+		evidencePushRegions: map[ferry.RegionID]bool{}, isFleetSizeKnown: options.IsFirst && options.FleetSize == 0,
 	}
 	c.setSeeds(seeds)
 	c.view, c.isViewDirty, c.leadsFleetAt = []VM{c.self}, true, now.Monotonic
--- a/lead/division.go
+++ b/lead/division.go
@@ -48,10 +48,14 @@
 	return max(size, c.assumedSize())
 }
 
-// assumedSize returns the least size assumed while the fleet size is unknown. A VM that
-// has met nobody may stay so for as long as its seeds are down. It scales the size with
-// the places that its settings list, so that small fleets serve meanwhile.
+// assumedSize returns the least size assumed while the fleet size is unknown: the one
+// that operators expect, if they state it. Otherwise a VM that has met nobody may stay so
+// for as long as its seeds are down. It scales the size with the places that its settings
+// list, so that small fleets serve meanwhile.
 func (c *Controller) assumedSize() int {
+	if c.options.FleetSize > 0 {
+		return c.options.FleetSize
+	}
 	places := len(c.options.Regions)
 	if c.hasContact || places == 0 {
 		return assumedFleetSize
@@ -65,8 +69,15 @@
 // for as long as it has met nobody, a VM with other seeds than itself, even if the
 // whole fleet starts for the first time.
 func (c *Controller) knowsFleetSize(now time.Duration) bool {
-	if len(c.seeds) > 0 && !c.hasLearnedView(now) {
+	expected := c.options.FleetSize
+	switch {
+	case len(c.seeds) > 0 && !c.hasLearnedView(now):
 		return false
+	case expected > 0 && c.fleetSizes.largest() >= expected:
+		return true
+	case expected > 0:
+		// VMs lost before this process started have expired then.
+		return c.isFleetSizeKnown || now-c.started > lostRetention
 	}
 	return c.isFleetSizeKnown || now-c.started > fleetSizeKnownAfter
 }
--- a/lead/simulation_test.go
+++ b/lead/simulation_test.go
@@ -72,6 +72,8 @@
 	largestMessage int
 	starts         uint64
 	places         int
+	// fleetSize is the expected number of VMs, if set.
+	fleetSize int
 	// listDuration is how long a full list takes, and fullLists counts them.
 	listDuration time.Duration
 	fullLists    int
@@ -153,7 +155,7 @@
 	if s.now > 0 {
 		vm.restarts = append(vm.restarts, s.now)
 	}
-	vm.controller = NewController(s.moment(vm), self, s.seeds, testDecoder{}, Options{CanRead: true, Jitter: s.random.Float64(), IsFirst: s.now == 0})
+	vm.controller = NewController(s.moment(vm), self, s.seeds, testDecoder{}, Options{CanRead: true, Jitter: s.random.Float64(), IsFirst: s.now == 0, FleetSize: s.fleetSize})
 	s.step(i, StatusChanged{Ready: true})
 	s.schedule(s.now+time.Duration(s.random.IntN(100))*time.Millisecond, i, Tick{})
 }
--- a/lead/unknown_test.go
+++ b/lead/unknown_test.go
@@ -38,9 +38,10 @@
 	self := netip.MustParseAddrPort("10.0.0.1:7000")
 	other := netip.MustParseAddrPort("10.0.0.2:7000")
 	tests := map[string]struct {
-		seeds  []netip.AddrPort
-		places int
-		want   float64
+		seeds     []netip.AddrPort
+		places    int
+		fleetSize int
+		want      float64
 	}{
 		"no seeds":              {want: 1},
 		"only itself":           {seeds: []netip.AddrPort{self}, want: 1},
@@ -48,6 +49,7 @@
 		"seed down, 3 places":   {seeds: []netip.AddrPort{other}, places: 3, want: 1.0 / 16},
 		"seed down, 9 places":   {seeds: []netip.AddrPort{other}, places: 9, want: 1.0 / 48},
 		"seed down, one place":  {seeds: []netip.AddrPort{other}, places: 1, want: 1.0 / 6},
+		"seed down, 6 expected": {seeds: []netip.AddrPort{other}, places: 9, fleetSize: 6, want: 1.0 / 6},
 		"no seeds, nine places": {places: 9, want: 1},
 	}
 	for name, test := range tests {
@@ -58,7 +60,7 @@
 			for i := range test.places {
 				regions[ferry.PlaceID(fmt.Sprint("place", i))] = "region"
 			}
-			c := NewController(ferry.Moment{}, VM{Peers: self, Incarnation: 1, Place: "place0"}, test.seeds, testDecoder{}, Options{IsFirst: true, Regions: regions})
+			c := NewController(ferry.Moment{}, VM{Peers: self, Incarnation: 1, Place: "place0"}, test.seeds, testDecoder{}, Options{IsFirst: true, Regions: regions, FleetSize: test.fleetSize})
 			for _, at := range []time.Duration{4 * time.Second, 61 * time.Second, time.Hour} {
 				now := ferry.Moment{Monotonic: at, Wall: at}
 				c.Step(now, Tick{})
@@ -91,3 +93,28 @@
 	runChecked(t, s, 10*time.Second)
 	is.True(totalHeldShare(s) > 0.99)
 }
+
+// With the expected size, sides that were apart when the whole fleet started, for the
+// first time or after a loss of power, hold no more than the allowance.
+func TestStartDuringPartition(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSimulation(14, 12)
+	s.fleetSize = 12
+	s.split(4, true)
+	s.startAll()
+	s.run(6*time.Second, nil)
+	runChecked(t, s, 100*time.Second)
+	is.True(totalHeldShare(s) > 0.99)
+	for i := range s.vms {
+		s.kill(i)
+	}
+	s.run(s.now+3*time.Second, nil)
+	s.startAll()
+	runChecked(t, s, 100*time.Second)
+	is.True(totalHeldShare(s) > 0.99)
+	s.split(4, false)
+	runChecked(t, s, 10*time.Second)
+	is.True(totalHeldShare(s) > 0.99)
+	is.True(s.vms[0].controller.Division(s.moment(s.vms[0])).IsKnown)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -136,7 +136,7 @@
 		Callers: settings.Callers, ControlPort: settings.Control.Port(), Millicores: settings.Millicores,
 	}
 	n.controller = lead.NewController(dependencies.Clock.Now(), self, settings.Seeds, dependencies.Decoder,
-		lead.Options{CanRead: true, IsFirst: settings.IsFirst, Regions: settings.Regions, TargetHeartbeat: settings.TargetHeartbeat, Jitter: rand.Float64()})
+		lead.Options{CanRead: true, IsFirst: settings.IsFirst, FleetSize: settings.FleetSize, Regions: settings.Regions, TargetHeartbeat: settings.TargetHeartbeat, Jitter: rand.Float64()})
 	return n
 }
 
