lead: the age of a lost VM is rounded up from hop to hop

Cause: rounded down to seconds, a VM that had just expired could be learned again from one that had it a second longer. Change: rounded up.

--- a/lead/codec.go
+++ b/lead/codec.go
@@ -58,7 +58,8 @@
 		message.Removed = append(message.Removed, encodeAddress(removal.Peers))
 		lost := uint32(0)
 		if removal.IsLost {
-			lost = uint32(min(removal.LostFor.Seconds(), math.MaxInt32)) + 1
+			// Rounded up, so that no VM counts longer from hop to hop.
+			lost = uint32(math.Ceil(min(removal.LostFor.Seconds(), math.MaxInt32))) + 1
 		}
 		message.RemovedLost = append(message.RemovedLost, lost)
 	}
