relay: an early response survives the end of its target's connection

Cause: writeRest closed the connection also when a write to the target had failed. A target that refuses a long body and closes has responded before; its response was closed unread and the caller got 502. Change: only a body that can't be read to its end closes the connection. After a failed write the response is read, and the connection is not reused, as before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -177,7 +177,10 @@
 		}
 	}
 	if _, err := io.CopyBuffer(target, body.rest, make([]byte, chunkSize)); err != nil {
-		discard(connection)
+		if body.rest.hasFailed() {
+			discard(connection)
+		}
+		// A target that closes the connection may have responded before.
 		return err
 	}
 	if body.length < 0 {
--- a/relay/body.go
+++ b/relay/body.go
@@ -133,6 +133,13 @@
 	return n, err
 }
 
+// hasFailed reports whether the body can't be read to its end.
+func (r *bodyRest) hasFailed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.err != nil && !errors.Is(r.err, io.EOF)
+}
+
 // end makes further reads fail and returns when none is in progress. If an attempt has
 // begun to read the body and hasn't read it whole, interrupt is called: it has to end a
 // read that waits for the caller.
--- a/relay/early_test.go
+++ b/relay/early_test.go
@@ -243,6 +243,46 @@
 	}
 }
 
+// A target that responds before it has read a long body, and closes its connection, has
+// responded: the failure of the sending doesn't take its response away.
+func TestEarlyResponseThatCloses(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	text := strings.Repeat("refused\n", 1<<10)
+	go func() {
+		for {
+			conn, acceptErr := listener.Accept()
+			if acceptErr != nil {
+				return
+			}
+			request, readErr := http.ReadRequest(bufio.NewReader(conn))
+			if readErr == nil {
+				_, _ = io.CopyN(io.Discard, request.Body, earlyAfter)
+				respond(conn, http.StatusForbidden, request.Header.Get(testID), text, "Connection: close")
+			}
+			// With unread bytes, the connection is reset.
+			_ = conn.Close()
+		}
+	}()
+	target := startTarget(t, "a", respondOK)
+	target.target.Address = listener.Addr().(*net.TCPAddr).AddrPort()
+	h := newHarness(t, target)
+	for range 20 {
+		const size = 2 << 20
+		caller := h.startUpload(t, size, true)
+		go func() { _ = caller.send(numberedBody(size)) }()
+		got, readErr := http.ReadResponse(bufio.NewReader(caller), nil)
+		is.NoErr(readErr)
+		is.Equal(got.StatusCode, http.StatusForbidden)
+		body, readErr := io.ReadAll(got.Body)
+		is.NoErr(readErr)
+		is.True(string(body) == text)
+	}
+}
+
 // blockedReader blocks in Read until it is interrupted.
 type blockedReader struct {
 	reads       atomic.Int32
