place: cold targets of a service with a ColdRate get requests by credits only

Cause: a cold target tolerates a rate summed over all VMs and crashes above it, but each VM chose it by cost alone; and a process that became cold again was not noticed, since the state of one process kept its first coldUntil. Change: a cold target whose service states a ColdRate takes a request only with a credit, the right to send one request before a moment on both clocks. An entry counts once, from its arrival, by the revision of its record (new field of ferry.Target), so a newer one makes the target cold or warm. MaySend checks the credit again after the connection was opened. Without a ColdRate nothing changes. Result: go test ./place passes.

--- a/inventory.go
+++ b/inventory.go
@@ -128,6 +128,9 @@
 	// ColdFor is the rest of the warm-up after the target's start, as of the time
 	// when the target was listed. The target is slow during the warm-up.
 	ColdFor time.Duration
+	// Revision is that of the target's record, which orders two of one process. Zero
+	// means unknown.
+	Revision uint64
 	// Release is the version of the target's software.
 	Release string
 }
--- a/place/chooser.go
+++ b/place/chooser.go
@@ -32,6 +32,8 @@
 	IsRetryable bool
 	// Bytes is the size of the request plus the average size of a response.
 	Bytes int64
+	// Wall is the wall clock at the choice, by which credits expire too, or zero.
+	Wall time.Duration
 }
 
 // Pick is a chosen target.
@@ -45,6 +47,8 @@
 	// LogOdds are the log odds, at the choice, that the target is unhealthy.
 	LogOdds float64
 	state   *targetState
+	// credit is the credit taken for the request, or nil.
+	credit *coldCredit
 }
 
 // Report is the result of an attempt.
@@ -59,8 +63,8 @@
 
 // targetState is this VM's state of a target.
 type targetState struct {
-	target      ferry.Target
-	coldUntil   time.Duration
+	target ferry.Target
+	warmth
 	ownRequests atomic.Int32
 	// chosenAt is when this VM last chose the target.
 	chosenAt atomic.Int64
@@ -94,6 +98,8 @@
 	unsafeThreshold threshold
 	// lastSafeAt is the time of the last retryable request.
 	lastSafeAt atomic.Int64
+	// coldRate are the bits of the rate, a float64, that a cold target tolerates.
+	coldRate atomic.Uint64
 	// asked is the target that the place leader asked for last, or nil.
 	asked atomic.Pointer[askedTarget]
 }
@@ -125,6 +131,7 @@
 	seed    uint64
 	choices atomic.Uint64
 	used    usedTargets
+	cold    coldState
 }
 
 // NewChooser returns the chooser of a VM in the place.
@@ -145,10 +152,11 @@
 		present[target.ID] = true
 		state := c.states[target.ID]
 		if state == nil || !isSameProcess(state.target, target) {
-			state = &targetState{target: target, coldUntil: now + target.ColdFor, ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
+			state = &targetState{target: target, ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
 			state.apply(c.standings.get(target.Process()))
 			c.states[target.ID] = state
 		}
+		c.updateWarmth(now, state, target)
 		if target.Leaving {
 			continue
 		}
@@ -160,6 +168,7 @@
 				s.averageUse.Store(old.averageUse.Load())
 				s.asked.Store(old.asked.Load())
 			}
+			s.coldRate.Store(math.Float64bits(c.cold.rules[target.Service].rate))
 			next.services[target.Service] = s
 		}
 		s.states = append(s.states, state)
@@ -222,6 +231,8 @@
 	SaidLeaving bool
 	// Backoff is how long the target gets no request because it asked for a pause.
 	Backoff time.Duration
+	// ColdFor is the rest of the warm-up.
+	ColdFor time.Duration
 }
 
 // List returns all targets, ordered by ID.
@@ -231,6 +242,7 @@
 		list = append(list, TargetView{
 			Target: s.target, LogOdds: s.logOdds(now), OwnRequests: int(s.ownRequests.Load()),
 			SaidLeaving: s.isLeaving.Load(), Backoff: max(0, time.Duration(s.closedUntil.Load())-now),
+			ColdFor: max(0, time.Duration(s.coldUntil.Load())-now),
 		})
 	}
 	slices.SortFunc(list, func(a, b TargetView) int { return strings.Compare(string(a.Target.ID), string(b.Target.ID)) })
@@ -252,7 +264,7 @@
 	var random rand.PCG
 	random.Seed(c.seed, c.choices.Add(1))
 	for _, candidate := range s.states {
-		if candidate.isClosed(now) || slices.Contains(attempt.Tried, candidate.target.ID) {
+		if candidate.isClosed(now) || slices.Contains(attempt.Tried, candidate.target.ID) || candidate.lacksCredit(now, &attempt) {
 			continue
 		}
 		input := c.costInput(now, candidate, serviceTime, averageUse)
@@ -275,6 +287,12 @@
 	if pick.state == nil {
 		return Pick{}, false
 	}
+	if pick.credit, ok = pick.state.takeCredit(now, &attempt); !ok {
+		return c.Choose(now, attempt) // another request took the credit meanwhile
+	}
+	if pick.credit != nil {
+		c.cold.used.Add(1)
+	}
 	pick.state.ownRequests.Add(1)
 	pick.state.chosenAt.Store(int64(now))
 	c.used.add(pick.state)
@@ -325,7 +343,7 @@
 		OwnRequests:   int(s.ownRequests.Load()),
 		OtherRequests: estimateOtherRequests(math.Float64frombits(s.otherRequests.Load()), age, averageUse, slots),
 		ServiceTime:   serviceTime,
-		Cold:          now < s.coldUntil,
+		Cold:          s.isCold(now),
 		LogOdds:       s.logOdds(now),
 	}
 }
--- a/place/notice.go
+++ b/place/notice.go
@@ -137,7 +137,9 @@
 
 // MaySend reports whether a request that picked a target may still be sent to it.
 // Its notices may have arrived while the connection was opened.
-func (c *Chooser) MaySend(now time.Duration, pick Pick) bool { return !pick.state.isClosed(now) }
+func (c *Chooser) MaySend(now time.Duration, pick Pick) bool {
+	return !pick.state.isClosed(now) && pick.maySendCold(now)
+}
 
 // NextOpening returns the time until the first of the service's targets that asked
 // for a pause takes requests again. ok is false if no target is in a pause.
