lead: the place leader grants credits for cold targets

Cause: the rate of a cold target has to hold summed over all VMs, also while several VMs believe to lead the place. Change: a place leader lets credits accrue for each cold target at 0.7 of its rate, times the part of the place's VMs whose leases it holds; below a quarter it grants none and loses what accrued. Credits go out with the reply to a heartbeat and are valid for 500 ms from its sending, so the follower's own clocks decide. At most 8 a reply and 200 a second go to followers. Cold targets are no longer among those that followers are asked to use.

--- a/lead/codec.go
+++ b/lead/codec.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -24,6 +25,9 @@
 	logOddsScale = 100
 	// leasedShareScale is the resolution of leased shares, which are rounded down.
 	leasedShareScale = 1e9
+	// creditPrefix marks the targets in the field Unused that are credits. No ID begins
+	// with it, since IDs are sent in headers. Earlier versions don't know such a target.
+	creditPrefix = "\x01"
 )
 
 // exampleRecord is the dictionary that all compressed updates share.
@@ -45,6 +49,9 @@
 	for _, target := range exchange.Unused {
 		message.Unused = append(message.Unused, string(target))
 	}
+	for _, target := range exchange.Credits {
+		message.Unused = append(message.Unused, creditPrefix+string(target))
+	}
 	if exchange.HasSelf {
 		message.Self = encodeVM(exchange.Self)
 	}
@@ -105,6 +112,10 @@
 		exchange.List.Removed = append(exchange.List.Removed, address)
 	}
 	for _, target := range message.GetUnused() {
+		if credit, isCredit := strings.CutPrefix(target, creditPrefix); isCredit {
+			exchange.Credits = append(exchange.Credits, ferry.TargetID(credit))
+			continue
+		}
 		exchange.Unused = append(exchange.Unused, ferry.TargetID(target))
 	}
 	for _, evidence := range message.GetEvidence() {
--- a/lead/controller.go
+++ b/lead/controller.go
@@ -209,6 +209,7 @@
 	c.revokeLease(now)
 	c.startRead(now)
 	c.assignReader(now)
+	c.grantOwnCredits(now)
 	c.pool.decay(now.Monotonic)
 	c.pushChanges(now)
 	if c.nextFinalAt != 0 && now.Monotonic >= c.nextFinalAt {
--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -172,6 +172,7 @@
 	if len(exchange.Unused) > 0 {
 		c.emit(UseTargets{Targets: exchange.Unused})
 	}
+	c.receiveCredits(l, exchange)
 	if !exchange.HasEvidence {
 		return
 	}
@@ -259,6 +260,7 @@
 	}
 	if c.leadsPlace && l.vm.Place == c.self.Place {
 		exchange.Unused = c.usage.ask(now.Monotonic, c.leadsPlaceAt, c.placeSize())
+		exchange.Credits = c.replyCredits(now, l)
 	}
 	// View and evidence are sent once. The next heartbeat reports what arrived.
 	l.peerViewVersion, l.peerEvidenceVersion = exchange.List.Version, exchange.EvidenceVersion
--- a/lead/message.go
+++ b/lead/message.go
@@ -115,6 +115,10 @@
 	// Unused lists, in the reply of a place leader, targets of the place to which
 	// the receiver shall send a request.
 	Unused []ferry.TargetID
+	// Credits lists, in the reply of a place leader, cold targets of the place to each
+	// of which the receiver may send one request. They are valid for CreditTerm from the
+	// sending of the message Echo.
+	Credits []ferry.TargetID
 }
 
 // ListChange changes one version of a list of VMs into another.
@@ -209,6 +213,13 @@
 // UseTargets asks for one request to each of the targets within UseWithin.
 type UseTargets struct{ Targets []ferry.TargetID }
 
+// AddCredits adds the right to send one request to each of the cold targets before a
+// moment, by both clocks.
+type AddCredits struct {
+	Targets []ferry.TargetID
+	Until   ferry.Moment
+}
+
 // LeaderChanged reports that the primary leader is another VM.
 type LeaderChanged struct{ Leader netip.AddrPort }
 
@@ -220,3 +231,4 @@
 func (EvidenceChanged) isLeadAction() {}
 func (LeaderChanged) isLeadAction()   {}
 func (UseTargets) isLeadAction()      {}
+func (AddCredits) isLeadAction()      {}
--- a/lead/usage.go
+++ b/lead/usage.go
@@ -37,6 +37,8 @@
 type usage struct {
 	targets  map[ferry.TargetID]*targetUse
 	services map[ferry.ServiceID]*serviceUse
+	// credits is for the cold targets, which followers are not asked to use.
+	credits credits
 }
 
 // targetUse is the use of a target by the VMs of the place.
@@ -102,7 +104,7 @@
 func (u *usage) ask(now, leadsSince time.Duration, vms int) []ferry.TargetID {
 	longest := map[ferry.ServiceID]ferry.TargetID{}
 	for id, use := range u.targets {
-		if now-max(use.usedAt, leadsSince) < unusedAfter || use.expected >= expectedUses && now-use.askedAt < UseWithin {
+		if u.credits.isCold(id) || now-max(use.usedAt, leadsSince) < unusedAfter || use.expected >= expectedUses && now-use.askedAt < UseWithin {
 			continue
 		}
 		other, found := longest[use.service]
