node, relay: wire credits for cold targets, refuse with ColdTargets

Cause: credits need the services' rates and the loop that ticks. Change: the inventory's services go to the chooser, cold targets of the place to the controller at each tick, credits to the chooser. A request for which only cold targets are left is refused at once, 503 ColdTargets, with Retry-After by the next likely credit.

--- a/node/loop.go
+++ b/node/loop.go
@@ -111,6 +111,7 @@
 	} else {
 		n.step(ctx, lead.Tick{})
 	}
+	n.tickCold()
 	n.limiter.tick()
 	n.tickPlaceCaches()
 	now := n.clock.Now()
@@ -184,6 +185,11 @@
 				n.metrics.GetOrCreateCounter("ferry_targets_asked_total").Inc()
 				n.log.Debug("target asked for", "target", target)
 			}
+		case lead.AddCredits:
+			for _, target := range action.Targets {
+				n.chooser.AddCredit(target, action.Until)
+			}
+			n.log.Debug("credits", "targets", action.Targets, "remaining", action.Until.Since(n.clock.Now()))
 		case lead.LeaderChanged:
 			n.log.Info("lead", "lead", action.Leader, "leadsPlace", n.controller.LeadsPlace())
 			n.resetTokens()
@@ -228,6 +234,7 @@
 		n.applyInventory(inventory)
 	}
 	n.chooser.Update(now.Monotonic, targets)
+	n.tickCold()
 	n.controller.SetTargets(now, targets)
 	records, _ := n.controller.Revisions()
 	n.log.Info("records", "revision", records, "targets", len(targets))
@@ -240,6 +247,7 @@
 		return
 	}
 	n.state.snapshot.Store(conf.NewSnapshot(inventory))
+	n.chooser.SetServices(inventory.Services)
 	for _, account := range inventory.Accounts {
 		n.log.Debug("account configured", "account", account.ID, "rate", account.Rate, "burst", account.Burst, "keys", len(account.Keys))
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -190,8 +190,9 @@
 	if !f.guard.MayRun(r.exchange) {
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonNotReady, staleRetryAfter, "the configuration may be old")
 	}
-	now := monotonicTime(f.clock)
-	pick, ok := f.chooser.Choose(now, place.Attempt{Service: r.service, Tried: r.tried, IsRetryable: r.isIdempotent, Bytes: r.expectedBytes})
+	moment := f.clock.Now()
+	now := moment.Monotonic
+	pick, ok := f.chooser.Choose(now, place.Attempt{Service: r.service, Tried: r.tried, IsRetryable: r.isIdempotent, Bytes: r.expectedBytes, Wall: moment.Wall})
 	if !ok {
 		return f.refuseWithoutTarget(now, r)
 	}
@@ -220,6 +221,9 @@
 // over half of that time more, so that the target does not get them all at once.
 func (f *Forwarder) refuseWithoutTarget(now time.Duration, r *requestState) error {
 	wait, isPaused := f.chooser.NextOpening(now, r.service)
+	if coldWait, isCold := f.chooser.ColdWait(now, r.service); isCold && (!isPaused || coldWait < wait) {
+		return f.refuseByCold(r, coldWait)
+	}
 	if !isPaused {
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonNoTarget, noTargetRetryAfter, "no target is left")
 	}
