--- a/lead/cold_test.go
+++ b/lead/cold_test.go
@@ -33,24 +33,46 @@
 	// isIdle reports that no caller sends anything, so that credits are kept.
 	isIdle bool
 	steps  int
+	// grantedAt is when a credit was last sent to a VM, and late what was wrong with one.
+	grantedAt map[creditKey]time.Duration
+	late      error
+}
+
+type creditKey struct {
+	vm     int
+	target ferry.TargetID
 }
 
 func newColdFleet(seed uint64, vms, places int) *coldFleet {
-	f := &coldFleet{simulation: newSimulation(seed, vms), held: make([]map[ferry.TargetID]ferry.Moment, vms), used: make([]int, vms), sends: map[ferry.TargetID][]time.Duration{}}
+	f := &coldFleet{simulation: newSimulation(seed, vms), held: make([]map[ferry.TargetID]ferry.Moment, vms), used: make([]int, vms), sends: map[ferry.TargetID][]time.Duration{}, grantedAt: map[creditKey]time.Duration{}}
 	f.places = places
-	f.observe = func(vm int, action Action) {
-		if added, ok := action.(AddCredits); ok {
-			for _, target := range added.Targets {
-				f.held[vm][target] = added.Until
-			}
-		}
-	}
+	f.observe = f.observeCredits
 	for i := range vms {
 		f.startVM(i)
 	}
 	return f
 }
 
+// observeCredits keeps the credits that VMs get, and notes one that is valid for longer
+// than CreditTerm after the leader sent it.
+func (f *coldFleet) observeCredits(vm int, action Action) {
+	switch action := action.(type) {
+	case Send:
+		for _, target := range action.Exchange.Credits {
+			f.grantedAt[creditKey{f.index(action.To), target}] = f.now
+		}
+	case AddCredits:
+		for _, target := range action.Targets {
+			f.held[vm][target] = action.Until
+			at, isSent := f.grantedAt[creditKey{vm, target}]
+			remaining := action.Until.Wall - f.moment(f.vms[vm]).Wall
+			if f.now+remaining > at+CreditTerm && isSent && !f.vms[vm].controller.LeadsPlace() {
+				f.late = fmt.Errorf("at %v: a credit sent at %v is valid for %v", f.now, at, remaining)
+			}
+		}
+	}
+}
+
 func (f *coldFleet) startVM(i int) {
 	f.held[i] = map[ferry.TargetID]ferry.Moment{}
 	f.start(i)
@@ -100,8 +122,36 @@
 	clear(f.held[vm])
 }
 
+// checkFractions fails when the VMs of a place grant for more than the whole of it. A VM
+// counts twice for a term after each restart.
+func (f *coldFleet) checkFractions() error {
+	for p := range f.places {
+		sum, limit, size := 0.0, 1.0001, 0.0
+		for i := p; i < len(f.vms); i += f.places {
+			size++
+			if vm := f.vms[i]; vm.alive && f.now >= vm.suspendedUntil {
+				sum += vm.controller.placeFraction(f.moment(vm))
+			}
+		}
+		for i := p; i < len(f.vms); i += f.places {
+			for _, at := range f.vms[i].restarts {
+				if f.now-at < LeaseTerm {
+					limit += 1 / size
+				}
+			}
+		}
+		if sum > limit {
+			return fmt.Errorf("at %v: VMs of place%d grant for %.3f of it", f.now, p, sum)
+		}
+	}
+	return nil
+}
+
 // check counts the requests of the last second.
 func (f *coldFleet) check() error {
+	if f.late != nil {
+		return f.late
+	}
 	for id, sends := range f.sends {
 		sends = slices.DeleteFunc(sends, func(at time.Duration) bool { return at <= f.now-time.Second })
 		f.sends[id] = sends
@@ -135,6 +185,9 @@
 			advance(time.Duration(rapid.IntRange(20, 3000).Draw(t, "wait")) * time.Millisecond)
 			f.isIdle = false
 			advance(time.Duration(rapid.IntRange(20, 1500).Draw(t, "flood")) * time.Millisecond)
+			if err := f.checkFractions(); err != nil {
+				t.Fatal(err)
+			}
 		}
 	})
 }
@@ -202,17 +255,47 @@
 	t.Parallel()
 	is := is.New(t)
 	f := newColdFleet(2, 6, 1)
-	is.NoErr(f.advance(8 * time.Second))
+	is.NoErr(f.advance(70 * time.Second)) // no longer a young process
 	alone := f.fleetLeader()
 	f.setPartition(alone, true, true, true)
 	is.NoErr(f.advance(6 * time.Second))
 	before := f.used[alone]
 	f.sends = map[ferry.TargetID][]time.Duration{}
-	is.NoErr(f.advance(time.Second))
+	is.NoErr(f.advance(3 * time.Second))
 	is.Equal(f.used[alone], before)
 	is.Equal(len(f.sends), coldTargetsPerPlace)
 }
 
+// TestColdRateHoldsAfterAMinute has two sides of a partition that both have forgotten the
+// other, with callers that come all at once.
+func TestColdRateHoldsAfterAMinute(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newColdFleet(3, 8, 1)
+	is.NoErr(f.advance(8 * time.Second))
+	for a := range f.vms {
+		for b := range f.vms {
+			f.isBlocked[[2]int{a, b}] = a%2 != b%2
+		}
+	}
+	f.isIdle = true
+	is.NoErr(f.advance(70 * time.Second))
+	largest := 0
+	for range 20 {
+		f.isIdle = true
+		is.NoErr(f.advance(700 * time.Millisecond))
+		f.isIdle = false
+		for range 100 {
+			is.NoErr(f.advance(10 * time.Millisecond))
+			for _, sends := range f.sends {
+				largest = max(largest, len(sends))
+			}
+		}
+	}
+	t.Logf("at most %d requests in one second", largest)
+	is.True(float64(largest) > coldTestRate) // both sides do grant
+}
+
 // TestCreditMessages bounds what credits add to messages: in the largest fleet all targets
 // of all places are cold.
 func TestCreditMessages(t *testing.T) {
--- a/lead/doc.go
+++ b/lead/doc.go
@@ -32,6 +32,12 @@
 // their place that gets none, be it by chance at a low rate, as a suspect or
 // because it has just started. No VM could tell alone.
 //
+// A cold target of a service that states a rate for it gets requests by credits only:
+// each is the right of one VM to send one request. The place leader grants them with its
+// replies, at a part of that rate which is the smaller the fewer VMs of the place lease it
+// their share (see below). The follower counts a credit's term from the heartbeat that
+// the reply echoes.
+//
 // With its heartbeats a VM leases its share of every allowance to its primary
 // leader. The place leader subleases what it holds to the fleet leader for a
 // shorter term. The lease holder counts the term from the message that the
--- a/node/report.go
+++ b/node/report.go
@@ -66,6 +66,8 @@
 	SaidLeaving bool
 	// Backoff is how long the target gets no request because it asked for a pause.
 	Backoff string `json:",omitempty"`
+	// ColdFor is the rest of the target's warm-up.
+	ColdFor string `json:",omitempty"`
 }
 
 // statusRequested is the event of a request for the status.
@@ -126,6 +128,9 @@
 		if view.Backoff > 0 {
 			target.Backoff = view.Backoff.String()
 		}
+		if view.ColdFor > 0 {
+			target.ColdFor = view.ColdFor.String()
+		}
 		status.Targets = append(status.Targets, target)
 	}
 	return status
--- a/place/cold.go
+++ b/place/cold.go
@@ -260,30 +260,43 @@
 	}
 }
 
-// ColdWait returns the time after which a credit for a cold target of the service, or
-// the end of a warm-up, is likely. ok is false if no target of the service is limited.
-func (c *Chooser) ColdWait(now time.Duration, service ferry.ServiceID) (wait time.Duration, ok bool) {
+// ColdTargets describes the cold targets of a service that get requests by credits only.
+type ColdTargets struct {
+	// InPlace is the number of those in this VM's place, Elsewhere that of the others.
+	InPlace, Elsewhere int
+	// WarmIn is the time until the first of them is warm.
+	WarmIn time.Duration
+	// Wait is the time after which a credit for one of them, or the end of its warm-up,
+	// is likely.
+	Wait time.Duration
+}
+
+// ColdTargets returns the cold targets of a service. ok is false if there are none.
+func (c *Chooser) ColdTargets(now time.Duration, service ferry.ServiceID) (cold ColdTargets, ok bool) {
 	s := c.table.Load().services[service]
 	if s == nil {
-		return 0, false
+		return ColdTargets{}, false
 	}
-	wait = math.MaxInt64
-	inPlace := 0
+	cold.WarmIn = math.MaxInt64
 	for _, state := range s.states {
-		if state.isClosed(now) || !state.isLimited(now) {
+		remaining := time.Duration(state.limitedUntil.Load()) - now
+		if state.isClosed(now) || remaining <= 0 {
 			continue
 		}
-		wait, ok = min(wait, time.Duration(state.limitedUntil.Load())-now), true
+		cold.WarmIn = min(cold.WarmIn, remaining)
 		if state.target.Place == c.place {
-			inPlace++
+			cold.InPlace++
+		} else {
+			cold.Elsewhere++
 		}
 	}
-	if rate := math.Float64frombits(s.coldRate.Load()); inPlace > 0 && rate > 0 {
-		perVM := float64(inPlace) * rate / float64(max(1, c.placeVMs.Load()))
-		wait = min(wait, time.Duration(float64(time.Second)/perVM))
+	if cold.InPlace+cold.Elsewhere == 0 {
+		return ColdTargets{}, false
 	}
-	if !ok {
-		return 0, false
+	cold.Wait = cold.WarmIn
+	if rate := math.Float64frombits(s.coldRate.Load()); cold.InPlace > 0 && rate > 0 {
+		perVM := float64(cold.InPlace) * rate / float64(max(1, c.placeVMs.Load()))
+		cold.Wait = min(cold.Wait, time.Duration(float64(time.Second)/perVM))
 	}
-	return wait, true
+	return cold, true
 }
--- a/place/cold_test.go
+++ b/place/cold_test.go
@@ -40,9 +40,10 @@
 	c := coldChooser(start.Monotonic, coldTarget("a", "p", 1, 3*time.Second), coldTarget("b", "q", 1, 3*time.Second))
 	_, ok := mayChoose(c, start)
 	is.True(!ok)
-	wait, isCold := c.ColdWait(start.Monotonic, "s")
+	cold, isCold := c.ColdTargets(start.Monotonic, "s")
 	is.True(isCold)
-	is.True(wait > 100*time.Millisecond && wait < time.Second) // one VM and one target: 1/6.5 s
+	is.True(cold.Wait > 100*time.Millisecond && cold.Wait < time.Second) // one VM and one target: 1/6.5 s
+	is.Equal(cold, ColdTargets{InPlace: 1, Elsewhere: 1, WarmIn: 3 * time.Second, Wait: cold.Wait})
 	c.AddCredit("b", start.Add(time.Second))
 	c.AddCredit("gone", start.Add(time.Second))
 	_, ok = mayChoose(c, start)
@@ -67,7 +68,7 @@
 		_, ok = mayChoose(c, start.Add(3*time.Second))
 		is.True(ok) // warm
 	}
-	_, isCold = c.ColdWait(start.Monotonic+3*time.Second, "s")
+	_, isCold = c.ColdTargets(start.Monotonic+3*time.Second, "s")
 	is.True(!isCold)
 }
 
--- a/place/doc.go
+++ b/place/doc.go
@@ -23,6 +23,11 @@
 // can be sent again, or any request if it is sound, once. So healthy targets stay in
 // use at low rates, and suspects are found healthy again.
 //
+// A cold target of a service that states a rate for cold targets is a candidate only
+// where this VM holds a credit for it (package lead), and the request uses the credit up.
+// Whether a target is cold is what its newest entry states, counted from the arrival of
+// that entry, or assumed after an evacuation.
+//
 // # Usage
 //
 //	chooser.Update(now, targets)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -221,8 +221,8 @@
 // over half of that time more, so that the target does not get them all at once.
 func (f *Forwarder) refuseWithoutTarget(now time.Duration, r *requestState) error {
 	wait, isPaused := f.chooser.NextOpening(now, r.service)
-	if coldWait, isCold := f.chooser.ColdWait(now, r.service); isCold && (!isPaused || coldWait < wait) {
-		return f.refuseByCold(r, coldWait)
+	if cold, isCold := f.chooser.ColdTargets(now, r.service); isCold && (!isPaused || cold.Wait < wait) {
+		return f.refuseByCold(r, cold)
 	}
 	if !isPaused {
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonNoTarget, noTargetRetryAfter, "no target is left")
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -42,7 +42,7 @@
 
 // stateMessages are the messages of lines that report the state of a VM, in the
 // order in which Write prints them.
-var stateMessages = []string{startMessage, "configuration", "freshness", "records", "lead", "view", "store not read", "readiness", "drain started"}
+var stateMessages = []string{startMessage, "configuration", "freshness", "records", "lead", "view", "store not read", "readiness", "cold target", "drain started"}
 
 // Line is one log line.
 type Line struct {
