--- a/node/loop.go
+++ b/node/loop.go
@@ -120,6 +120,7 @@
 	} else {
 		n.step(ctx, lead.Tick{})
 	}
+	n.tickCold()
 	n.limiter.tick()
 	n.tickPlaceCaches()
 	now := n.clock.Now()
@@ -190,6 +191,11 @@
 				n.metrics.GetOrCreateCounter("ferry_targets_asked_total").Inc()
 				n.log.Debug("target asked for", "target", target)
 			}
+		case lead.AddCredits:
+			for _, target := range action.Targets {
+				n.chooser.AddCredit(target, action.Until)
+			}
+			n.log.Debug("credits", "targets", action.Targets, "remaining", action.Until.Since(n.clock.Now()))
 		case lead.LeaderChanged:
 			n.log.Info("lead", "lead", action.Leader, "leadsPlace", n.controller.LeadsPlace())
 			n.resetTokens()
@@ -261,6 +267,7 @@
 	}
 	n.applyEvacuations(now, decoded.evacuated)
 	n.chooser.Update(now.Monotonic, targets)
+	n.tickCold()
 	n.controller.SetTargets(now, outsideEvacuated(targets, decoded.evacuated))
 	records, _ := n.controller.Revisions()
 	n.log.Info("records", "revision", records, "targets", len(targets))
@@ -279,6 +286,7 @@
 		state := evacuationBegun
 		if change.IsOver {
 			state = evacuationEnded
+			n.chooser.AssumeCold(now.Monotonic, change.Place)
 		}
 		n.metrics.GetOrCreateCounter(fmt.Sprintf(`ferry_evacuations_total{state=%q}`, state)).Inc()
 		n.log.Info("evacuation", "place", change.Place, "state", state, "revision", records, "evacuated", places, "proven", n.hasFormerProof,
@@ -302,6 +310,7 @@
 		return
 	}
 	n.state.snapshot.Store(conf.NewSnapshot(inventory))
+	n.chooser.SetServices(inventory.Services)
 	for _, account := range inventory.Accounts {
 		n.log.Debug("account configured", "account", account.ID, "rate", account.Rate, "burst", account.Burst, "keys", len(account.Keys))
 	}
--- a/place/chooser.go
+++ b/place/chooser.go
@@ -34,6 +34,8 @@
 	Bytes int64
 	// Homes are the regions that may serve the request.
 	Homes Homes
+	// Wall is the wall clock at the choice, by which credits expire too, or zero.
+	Wall time.Duration
 }
 
 // Pick is a chosen target.
@@ -47,6 +49,8 @@
 	// LogOdds are the log odds, at the choice, that the target is unhealthy.
 	LogOdds float64
 	state   *targetState
+	// credit is the credit taken for the request, or nil.
+	credit *coldCredit
 }
 
 // Report is the result of an attempt.
@@ -65,8 +69,8 @@
 	// region is the bit of the region of the target's place, or empty if it is unknown.
 	region regionSet
 	// evacuation is that of the target's place, or nil.
-	evacuation  atomic.Pointer[Evacuation]
-	coldUntil   time.Duration
+	evacuation atomic.Pointer[Evacuation]
+	warmth
 	ownRequests atomic.Int32
 	// chosenAt is when this VM last chose the target.
 	chosenAt atomic.Int64
@@ -100,6 +104,8 @@
 	unsafeThreshold threshold
 	// lastSafeAt is the time of the last retryable request.
 	lastSafeAt atomic.Int64
+	// coldRate are the bits of the rate, a float64, that a cold target tolerates.
+	coldRate atomic.Uint64
 	// asked is the target that the place leader asked for last, or nil.
 	asked atomic.Pointer[askedTarget]
 }
@@ -135,6 +141,7 @@
 	seed    uint64
 	choices atomic.Uint64
 	used    usedTargets
+	cold    coldState
 }
 
 // NewChooser returns the chooser of a VM in the place.
@@ -155,11 +162,12 @@
 		present[target.ID] = true
 		state := c.states[target.ID]
 		if state == nil || !isSameProcess(state.target, target) {
-			state = &targetState{target: target, region: c.regionBits[c.regions[target.Place]], coldUntil: now + target.ColdFor, ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
+			state = &targetState{target: target, region: c.regionBits[c.regions[target.Place]], ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
 			state.apply(c.standings.get(target.Process()))
 			state.evacuation.Store(findEvacuation(c.evacuations(), target.Place))
 			c.states[target.ID] = state
 		}
+		c.updateWarmth(now, state, target)
 		if target.Leaving {
 			continue
 		}
@@ -171,6 +179,7 @@
 				s.averageUse.Store(old.averageUse.Load())
 				s.asked.Store(old.asked.Load())
 			}
+			s.coldRate.Store(math.Float64bits(c.cold.rules[target.Service].rate))
 			next.services[target.Service] = s
 		}
 		s.states = append(s.states, state)
@@ -233,6 +242,8 @@
 	SaidLeaving bool
 	// Backoff is how long the target gets no request because it asked for a pause.
 	Backoff time.Duration
+	// ColdFor is the rest of the warm-up.
+	ColdFor time.Duration
 }
 
 // List returns all targets, ordered by ID.
@@ -242,6 +253,7 @@
 		list = append(list, TargetView{
 			Target: s.target, LogOdds: s.logOdds(now), OwnRequests: int(s.ownRequests.Load()),
 			SaidLeaving: s.isLeaving.Load(), Backoff: max(0, time.Duration(s.closedUntil.Load())-now),
+			ColdFor: max(0, time.Duration(s.coldUntil.Load())-now),
 		})
 	}
 	slices.SortFunc(list, func(a, b TargetView) int { return strings.Compare(string(a.Target.ID), string(b.Target.ID)) })
@@ -264,7 +276,7 @@
 	random.Seed(c.seed, c.choices.Add(1))
 	reach, departure := c.reachOf(attempt.Homes), c.newDeparture(&random)
 	for _, candidate := range s.states {
-		if candidate.isClosed(now) || !reach.includes(candidate) || slices.Contains(attempt.Tried, candidate.target.ID) {
+		if candidate.isClosed(now) || !reach.includes(candidate) || slices.Contains(attempt.Tried, candidate.target.ID) || candidate.lacksCredit(now, &attempt) {
 			continue
 		}
 		input := c.costInput(now, candidate, serviceTime, averageUse)
@@ -288,6 +300,12 @@
 	if pick.state == nil {
 		return Pick{}, false
 	}
+	if pick.credit, ok = pick.state.takeCredit(now, &attempt); !ok {
+		return c.Choose(now, attempt) // another request took the credit meanwhile
+	}
+	if pick.credit != nil {
+		c.cold.used.Add(1)
+	}
 	pick.state.ownRequests.Add(1)
 	pick.state.chosenAt.Store(int64(now))
 	c.used.add(pick.state)
@@ -338,7 +356,7 @@
 		OwnRequests:   int(s.ownRequests.Load()),
 		OtherRequests: estimateOtherRequests(math.Float64frombits(s.otherRequests.Load()), age, averageUse, slots),
 		ServiceTime:   serviceTime,
-		Cold:          now < s.coldUntil,
+		Cold:          s.isCold(now),
 		LogOdds:       s.logOdds(now),
 	}
 }
--- a/place/doc.go
+++ b/place/doc.go
@@ -29,6 +29,11 @@
 // the choices adds a cost to its targets, and at the end nobody chooses them. See
 // docs/design/homes.md.
 //
+// A cold target of a service that states a rate for cold targets is a candidate only
+// where this VM holds a credit for it (package lead), and the request uses the credit up.
+// Whether a target is cold is what its newest entry states, counted from the arrival of
+// that entry, or assumed after an evacuation.
+//
 // # Usage
 //
 //	chooser.Update(now, targets)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -198,8 +198,11 @@
 	if !f.guard.MayRun(r.exchange) {
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonNotReady, staleRetryAfter, "the configuration may be old")
 	}
-	now := monotonicTime(f.clock)
-	wanted := place.Attempt{Service: r.service, Tried: r.tried, IsRetryable: r.isIdempotent, Bytes: r.expectedBytes, Homes: homes(r.exchange)}
+	moment := f.clock.Now()
+	now := moment.Monotonic
+	wanted := place.Attempt{
+		Service: r.service, Tried: r.tried, IsRetryable: r.isIdempotent, Bytes: r.expectedBytes, Homes: homes(r.exchange), Wall: moment.Wall,
+	}
 	pick, ok := f.chooser.Choose(now, wanted)
 	if !ok {
 		return f.refuseWithoutTarget(now, r, wanted)
@@ -237,7 +240,11 @@
 // for a pause, the caller may return when the first pause is over. Callers are spread
 // over half of that time more, so that the target does not get them all at once.
 func (f *Forwarder) refuseWithoutTarget(now time.Duration, r *requestState, wanted place.Attempt) error {
-	if wait, isPaused := f.chooser.NextOpening(now, wanted); isPaused {
+	wait, isPaused := f.chooser.NextOpening(now, wanted)
+	if cold, isCold := f.chooser.ColdTargets(now, wanted); isCold && (!isPaused || cold.Wait < wait) {
+		return f.refuseByCold(r, cold)
+	}
+	if isPaused {
 		wait += rand.N(max(wait/2, shedRetryAfter))
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonOverload, wait, "every target asked for a pause")
 	}
