--- a/place/chooser.go
+++ b/place/chooser.go
@@ -270,25 +270,24 @@
 	avoidAbove := s.avoidThreshold(now, attempt.IsRetryable, c.floor())
 	serviceTime := time.Duration(math.Float64frombits(s.serviceTime.Load()) * float64(time.Second))
 	averageUse := math.Float64frombits(s.averageUse.Load())
-	asked := s.askedFor(now, attempt)
+	asked, hasSafe := s.askedFor(now, attempt), s.hasRetryable(now)
 	lowest := time.Duration(math.MaxInt64)
 	var random rand.PCG
 	random.Seed(c.seed, c.choices.Add(1))
 	reach, departure := c.reachOf(attempt.Homes), c.newDeparture(&random)
+	isSpread := attempt.IsRetryable || random.Uint64()%spreadInterval == 0
 	for _, candidate := range s.states {
 		if candidate.isClosed(now) || !reach.includes(candidate) || slices.Contains(attempt.Tried, candidate.target.ID) || candidate.lacksCredit(now, &attempt) {
 			continue
 		}
 		input := c.costInput(now, candidate, serviceTime, averageUse)
-		if input.LogOdds <= avoidAbove {
-			input.LogOdds = min(input.LogOdds, healthyLogOdds)
-		}
 		input.IsRetryable, input.Bytes = attempt.IsRetryable, attempt.Bytes
+		input.tolerate(avoidAbove, isSpread)
 		cost := Cost(input)
 		if IsTrialDue(input, now-time.Duration(candidate.chosenAt.Load()), int(c.placeVMs.Load())) {
 			cost = -maxJitter
 		}
-		if candidate.target.ID == asked && mayUseAsked(input) {
+		if candidate.target.ID == asked && mayUseAsked(input, hasSafe) {
 			cost = -2 * maxJitter
 		}
 		cost += departure.cost(now, candidate)
@@ -322,12 +321,19 @@
 		s.lastSafeAt.Store(int64(max(1, now)))
 		return s.safeThreshold.current(now, s, floor)
 	}
-	if at := time.Duration(s.lastSafeAt.Load()); at != 0 && now-at < safeWindow {
+	if s.hasRetryable(now) {
 		floor = min(floor, unsafeFloor)
 	}
 	return s.unsafeThreshold.current(now, s, floor)
 }
 
+// hasRetryable reports whether this VM had a retryable request of the service within
+// safeWindow. Such requests keep suspects in use.
+func (s *service) hasRetryable(now time.Duration) bool {
+	at := time.Duration(s.lastSafeAt.Load())
+	return at != 0 && now-at < safeWindow
+}
+
 // current returns the threshold of s, recomputed after thresholdInterval.
 func (t *threshold) current(now time.Duration, s *service, floor float64) float64 {
 	if at := time.Duration(t.computedAt.Load()); at != 0 && now-at < thresholdInterval {
--- a/place/cost.go
+++ b/place/cost.go
@@ -20,6 +20,9 @@
 	// wait of this length makes as many responses late as the failure loses.
 	costSafeFailure   = 200 * time.Millisecond
 	costUnsafeFailure = 1600 * time.Millisecond
+	// costToleratedFailure replaces costUnsafeFailure at targets that the floor keeps in
+	// use: with more, healthier targets would be full before those get any request.
+	costToleratedFailure = 500 * time.Millisecond
 	// negligibleProbability is the highest probability of being unhealthy that
 	// adds no cost: lower ones are within the error of the estimate.
 	negligibleProbability = 0.06
@@ -52,6 +55,22 @@
 	LogOdds float64
 	// IsRetryable reports that the request may be sent again after a failure.
 	IsRetryable bool
+	// IsTolerated reports that the target is among those that the floor keeps in use,
+	// whatever its log odds.
+	IsTolerated bool
+}
+
+// tolerate applies the threshold above which requests avoid targets. A request that is
+// spread uses the targets below it like healthy ones, since the floor counts on them. The
+// others prefer healthier ones as long as those have room.
+func (c *CostInput) tolerate(avoidAbove float64, isSpread bool) {
+	if c.LogOdds > avoidAbove {
+		return
+	}
+	c.IsTolerated = true
+	if isSpread {
+		c.LogOdds = min(c.LogOdds, healthyLogOdds)
+	}
 }
 
 // load returns the number of requests on the target and that of its slots.
@@ -93,8 +112,11 @@
 	case ferry.SamePlace, ferry.DistanceCount:
 	}
 	failure := costUnsafeFailure
-	if input.IsRetryable {
+	switch {
+	case input.IsRetryable:
 		failure = costSafeFailure
+	case input.IsTolerated:
+		failure = costToleratedFailure
 	}
 	cost += max(0, Probability(input.LogOdds)-negligibleProbability) * float64(failure)
 	return time.Duration(cost)
--- a/place/floor.go
+++ b/place/floor.go
@@ -10,6 +10,11 @@
 const (
 	// healthyLogOdds are log odds that add nothing to the cost of a target.
 	healthyLogOdds = -3.0
+	// spreadInterval is the number of requests that can't be sent again of which one is
+	// spread over all targets within the floor, as all retryable requests are.
+	spreadInterval = 6
+	// evenLogOdds are the log odds of a target that is as likely healthy as not.
+	evenLogOdds = 0.0
 	// certainLogOdds are log odds above which requests avoid a target whatever the
 	// floor: four in five that it is unhealthy, as after two failures within two
 	// seconds anywhere in the fleet.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -160,6 +160,39 @@
 	is.Equal(len(used), 14)
 }
 
+// Silent targets fall silent again. A request that may run only once prefers the others
+// as long as they have room, also where the floor counts on the suspects, and still
+// uses each of them.
+func TestUnsafeRequestsPreferHealthierTargets(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := NewChooser("a1", regions)
+	c.Update(0, targets("a1", 20))
+	c.SetPlaceVMs(18)
+	c.SetFloor(0.7)
+	pooled := map[ferry.TargetID]float64{}
+	for i := range 10 {
+		pooled[ferry.TargetID(fmt.Sprintf("a1-%d", i))] = -0.1 * float64(i+1)
+	}
+	c.SetFleetLogOdds(pooled)
+	const requests = 6000
+	used := map[ferry.TargetID]int{}
+	for i := range requests {
+		now := 3*time.Second + time.Duration(i)*time.Millisecond
+		pick, ok := c.Choose(now, Attempt{Service: "s"})
+		is.True(ok)
+		used[pick.Target.ID]++
+		c.Release(now, pick, Report{})
+	}
+	suspects := 0
+	for id := range pooled {
+		suspects += used[id]
+	}
+	is.Equal(len(used), 14)                // the floor
+	is.True(suspects > 0)                  // the four that the floor counts on
+	is.True(suspects < requests*4/14*3/10) // well below their equal part
+}
+
 // Targets that are almost certainly unhealthy get nothing that may run only once while
 // others have room, even if they are more than the floor allows to avoid. The others
 // are all used, and each of them gets a request within two seconds through trials.
--- a/place/usage_test.go
+++ b/place/usage_test.go
@@ -56,6 +56,24 @@
 	c.Ask(now, "gone", time.Second)
 }
 
+// TestAskedSuspectWithoutRetryableRequests asks for suspects of a service that has no
+// requests which can be sent again: one that is as likely healthy as not gets the next
+// request, a likelier suspect none.
+func TestAskedSuspectWithoutRetryableRequests(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		logOdds float64
+		isUsed  bool
+	}{{-0.5, true}, {0.5, false}} {
+		c := askChooser()
+		c.SetFleetLogOdds(map[ferry.TargetID]float64{"a": test.logOdds})
+		c.Ask(time.Minute, "a", time.Second)
+		pick, ok := c.Choose(time.Minute, Attempt{Service: "s"})
+		is.True(ok)
+		is.Equal(pick.Target.ID == "a", test.isUsed)
+	}
+}
+
 func TestAskedTargetThatIsFullGetsNoRequest(t *testing.T) {
 	is := is.New(t)
 	c := askChooser()
