--- a/node/loop.go
+++ b/node/loop.go
@@ -215,6 +215,7 @@
 	if current := n.state.proof.Load(); current == nil || *current != proof {
 		n.state.proof.Store(&proof)
 	}
+	n.state.endFirstWait()
 }
 
 // publishView publishes the view to the directory and the chooser.
--- a/node/node.go
+++ b/node/node.go
@@ -112,7 +112,7 @@
 	settings := dependencies.Settings
 	n := &Node{
 		dependencies: dependencies, log: dependencies.Log, clock: dependencies.Clock,
-		state:        &requestState{clock: dependencies.Clock},
+		state:        &requestState{clock: dependencies.Clock, first: make(chan struct{})},
 		directory:    &Directory{regions: settings.Regions, lifetime: settings.Bounds.EntryLifetime},
 		chooser:      place.NewChooser(settings.Place, settings.Regions),
 		budgets:      &relay.RetryBudgets{},
--- a/node/state.go
+++ b/node/state.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +30,25 @@
 	// It also holds for a configuration record that could not be used: the former
 	// configuration and its keys stay in force, for as long as that record is the latest.
 	proof atomic.Pointer[ferry.Moment]
+	// first is closed once the first configuration is in force, with a proof.
+	first     chan struct{}
+	firstOnce sync.Once
+}
+
+// WaitFirst implements relay.Snapshots.
+func (s *requestState) WaitFirst(ctx context.Context) ferry.Snapshot {
+	select {
+	case <-s.first:
+	case <-ctx.Done():
+	}
+	return s.Snapshot()
+}
+
+// endFirstWait lets the requests go on that wait for the first configuration.
+func (s *requestState) endFirstWait() {
+	if s.snapshot.Load() != nil {
+		s.firstOnce.Do(func() { close(s.first) })
+	}
 }
 
 // Snapshot implements relay.Snapshots.
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -186,7 +186,8 @@
 
 type testSnapshots struct{ view *conf.Snapshot }
 
-func (s testSnapshots) Snapshot() ferry.Snapshot { return s.view }
+func (s testSnapshots) Snapshot() ferry.Snapshot                 { return s.view }
+func (s testSnapshots) WaitFirst(context.Context) ferry.Snapshot { return s.view }
 
 // harness is the request path of a VM with scripted targets.
 type harness struct {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -45,6 +45,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_notices_total{kind=%q}`, kind)).Inc()
 }
 
+// countFirstWait counts a request that waited for the first configuration of the process.
+func (m *Metrics) countFirstWait(isInForce bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_first_configuration_waits_total{inForce="%t"}`, isInForce)).Inc()
+}
+
 func (m *Metrics) countRefusal(route *ferry.Route, refusal *ferry.RefusalError) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_refusals_total{kind=%q,reason=%q,outcome=%q}`,
 		kindLabel(route), refusal.Reason, refusal.Outcome)).Inc()
--- a/relay/server.go
+++ b/relay/server.go
@@ -14,8 +14,22 @@
 // Snapshots gives the configuration in force, or nil before the first.
 type Snapshots interface {
 	Snapshot() ferry.Snapshot
+	// WaitFirst returns the configuration in force. Before the first one it waits for
+	// it until ctx ends, and returns nil then.
+	WaitFirst(ctx context.Context) ferry.Snapshot
 }
 
+const (
+	// firstConfigurationWait is how long a request waits for the first configuration of
+	// a new process: VMs that start together have it 0.4 s to 0.7 s after their start.
+	firstConfigurationWait = 700 * time.Millisecond
+	// maxFirstWaiting bounds the requests that wait for it. Others are refused at once.
+	maxFirstWaiting = 500
+	// firstWaitDivisor is the part of its time that a request waits at most for it, so
+	// that one that is refused can still come back.
+	firstWaitDivisor = 4
+)
+
 // Server is the HTTP handler for callers.
 type Server struct {
 	chain     ferry.Handler
@@ -27,6 +41,8 @@
 	// closing reports that callers are asked to close their connections.
 	closing  atomic.Bool
 	inFlight atomic.Int64
+	// firstWaiting is the number of requests that wait for the first configuration.
+	firstWaiting atomic.Int64
 }
 
 // NewServer returns a handler that passes requests through the chain.
@@ -72,6 +88,9 @@
 }
 
 func (s *Server) handle(ctx context.Context, exchange *ferry.Exchange) error {
+	if exchange.Snapshot == nil {
+		exchange.Snapshot = s.waitFirst(ctx, exchange)
+	}
 	if exchange.Snapshot == nil {
 		return &ferry.RefusalError{
 			Status: http.StatusServiceUnavailable, Reason: ferry.ReasonNotReady, Outcome: ferry.OutcomeNotRun,
@@ -81,6 +100,25 @@
 	return s.chain.Handle(ctx, exchange)
 }
 
+// waitFirst waits for the first configuration of a process that has just started. After
+// a loss of power of all VMs, callers are back before any VM has a configuration.
+func (s *Server) waitFirst(ctx context.Context, exchange *ferry.Exchange) ferry.Snapshot {
+	defer s.firstWaiting.Add(-1)
+	if s.firstWaiting.Add(1) > maxFirstWaiting {
+		return nil
+	}
+	limit := firstConfigurationWait
+	if exchange.Metadata.Deadline > 0 {
+		limit = min(limit, exchange.Metadata.Deadline/firstWaitDivisor)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	snapshot := s.snapshots.WaitFirst(ctx)
+	s.metrics.countFirstWait(snapshot != nil)
+	s.log.Debug("waited for the first configuration", "request", exchange.ID, "took", s.clock.Now().Since(exchange.Arrived), "inForce", snapshot != nil)
+	return snapshot
+}
+
 // refuse writes the refusal to the caller and the log.
 func (s *Server) refuse(exchange *ferry.Exchange, refusal *ferry.RefusalError, took time.Duration) {
 	var route ferry.RouteID
