room: who waits, who is sent, who is refused, and when they may return

Cause: a request went to the cheapest target even when all were full, was shed up to four times and refused with a constant Retry-After. Priority was read by nothing.

Change: package room, pure. A concurrency limit that begins with sheds by full targets in a row and ends after them; a queue by rank, fair between accounts, by deadline inside an account; refusal at once of what cannot be served in time, with the next place in a schedule.

Another 55% shed at random: no wait, no refusal of the room.

--- /dev/null
+++ b/room/load_test.go
@@ -0,0 +1,429 @@
+package room
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry"
+)
+
+// event is something that happens at a time.
+type event struct {
+	at   time.Duration
+	do   func()
+	sequ int
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].sequ < h[j].sequ
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(e any)   { *h = append(*h, e.(event)) }
+func (h *eventHeap) Pop() any {
+	e := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return e
+}
+
+// smallTarget runs some requests, lets some wait and sheds the rest.
+type smallTarget struct {
+	running, waiting int
+	isGone           bool
+	pending          []func()
+}
+
+// stream is a kind of request that arrives at an even rate with random gaps.
+type stream struct {
+	name       string
+	account    ferry.AccountID
+	rank       int
+	perSecond  float64
+	from, till time.Duration
+}
+
+// counts are what the callers of a stream got.
+type counts struct{ arrived, onTime, late, refused, returned, returnedServed int }
+
+func (c counts) served() float64 {
+	return float64(c.onTime+c.late) / float64(max(1, c.arrived))
+}
+
+// play is a load played to some VMs before small targets.
+type play struct {
+	random  *rand.Rand
+	now     time.Duration
+	events  eventHeap
+	sequ    int
+	rooms   []*Room
+	targets []*smallTarget
+	// shedShare is the share that targets turn away whatever their load.
+	shedShare float64
+	// returns reports that refused callers come back once, when they were told.
+	returns      bool
+	got          map[string]*counts
+	sends, sheds int
+	waited       int
+	maxQueued    int
+	roomRefusals int
+	// resends is the fleet's budget of resends: a fifth of the requests and some slack.
+	resends float64
+}
+
+const (
+	playSlots   = 4
+	playWaiting = 4
+	playWork    = 300 * time.Millisecond
+	playLimit   = 4 * time.Second
+	playAim     = 1500 * time.Millisecond
+	playSends   = 4
+)
+
+func newPlay(seed uint64, vms, targets int) *play {
+	p := &play{random: rand.New(rand.NewPCG(seed, 1)), got: map[string]*counts{}, resends: float64(vms)}
+	for range vms {
+		p.rooms = append(p.rooms, &Room{})
+	}
+	for range targets {
+		p.targets = append(p.targets, &smallTarget{})
+	}
+	return p
+}
+
+// capacity is what the targets run in a second.
+func (p *play) capacity() float64 {
+	sound := 0
+	for _, target := range p.targets {
+		if !target.isGone {
+			sound++
+		}
+	}
+	return float64(sound) * playSlots / playWork.Seconds()
+}
+
+func (p *play) after(d time.Duration, do func()) {
+	p.sequ++
+	heap.Push(&p.events, event{at: p.now + d, do: do, sequ: p.sequ})
+}
+
+// run plays the streams until all requests have ended.
+func (p *play) run(streams ...stream) {
+	for _, s := range streams {
+		if p.got[s.name] == nil {
+			p.got[s.name] = &counts{}
+		}
+		for at := s.from; at < s.till; at += time.Duration(p.random.ExpFloat64() / s.perSecond * float64(time.Second)) {
+			p.after(at, func() { p.arrive(s, p.now, false) })
+		}
+	}
+	for len(p.events) > 0 {
+		e := heap.Pop(&p.events).(event)
+		p.now = e.at
+		e.do()
+		for _, r := range p.rooms {
+			p.maxQueued = max(p.maxQueued, r.queued)
+		}
+	}
+}
+
+// request is a request in the play.
+type request struct {
+	*play
+	stream     stream
+	got        *counts
+	since      time.Duration
+	isReturned bool
+	room       *Room
+	ticket     *Ticket
+	tries      int
+}
+
+func (p *play) arrive(s stream, since time.Duration, isReturned bool) {
+	q := &request{play: p, stream: s, got: p.got[s.name], since: since, isReturned: isReturned, room: p.rooms[p.random.IntN(len(p.rooms))]}
+	p.resends += 0.18
+	if !isReturned {
+		q.got.arrived++
+	} else {
+		q.got.returned++
+	}
+	q.follow(q.room.Arrive(p.now, Request{
+		Account: s.account, Rank: s.rank, Deadline: since + playLimit, Objective: since + playAim,
+	}))
+}
+
+// follow does what the room decided.
+func (q *request) follow(decision Decision) {
+	q.ticket = decision.Ticket
+	switch {
+	case decision.Refusal != nil:
+		q.refuse(decision.Refusal)
+	case decision.IsWaiting:
+		q.waited++
+		q.poll()
+	default:
+		q.send()
+	}
+}
+
+// poll waits for the result of a ticket.
+func (q *request) poll() {
+	select {
+	case resolution := <-q.ticket.Result:
+		if resolution.Refusal != nil {
+			q.refuse(resolution.Refusal)
+			return
+		}
+		q.send()
+	default:
+		if q.now > q.ticket.Until && q.room.Cancel(q.ticket) {
+			q.refuse(q.room.Refuse(q.now, q.ticket.request, ""))
+			return
+		}
+		q.room.Dispatch(q.now)
+		q.after(time.Millisecond, q.poll)
+	}
+}
+
+func (q *request) refuse(refusal *Refusal) {
+	q.roomRefusals++
+	if q.returns && !q.isReturned {
+		q.after(refusal.RetryAfter, func() { q.arrive(q.stream, q.since, true) })
+		return
+	}
+	q.got.refused++
+}
+
+// send sends the request to the emptier of two targets.
+func (q *request) send() {
+	q.sends++
+	q.tries++
+	// Targets that are gone are known and avoided.
+	sound := slices.DeleteFunc(slices.Clone(q.targets), func(t *smallTarget) bool { return t.isGone })
+	target, other := sound[q.random.IntN(len(sound))], sound[q.random.IntN(len(sound))]
+	if other.running+other.waiting < target.running+target.waiting {
+		target = other
+	}
+	isFull := target.running >= playSlots && target.waiting >= playWaiting
+	switch {
+	case q.random.Float64() < q.shedShare:
+		q.after(2*time.Millisecond, func() {
+			if q.mayResend() {
+				q.send()
+				return
+			}
+			q.got.refused++
+			q.room.Release(q.now, q.ticket, Failed)
+		})
+	case isFull:
+		q.sheds++
+		load := ferry.TargetLoad{Known: true, Running: target.running, Waiting: target.waiting, Slots: playSlots}
+		q.after(2*time.Millisecond, func() { q.shed(load) })
+	case target.running >= playSlots:
+		target.waiting++
+		target.pending = append(target.pending, func() { q.runOn(target) })
+	default:
+		q.runOn(target)
+	}
+}
+
+func (q *request) shed(load ferry.TargetLoad) {
+	decision := q.room.Shed(q.now, q.ticket, load)
+	if decision.Ticket != nil && !q.mayResend() {
+		if !decision.IsWaiting || !q.room.Cancel(decision.Ticket) {
+			q.room.Release(q.now, decision.Ticket, Failed)
+		}
+		q.got.refused++
+		return
+	}
+	q.follow(decision)
+}
+
+// mayResend takes a resend from the budget.
+func (q *request) mayResend() bool {
+	if q.tries >= playSends || q.resends < 1 {
+		return false
+	}
+	q.resends--
+	return true
+}
+
+// runOn runs the request on a target.
+func (q *request) runOn(target *smallTarget) {
+	target.running++
+	q.after(time.Duration((0.5+q.random.Float64())*float64(playWork)), func() {
+		target.running--
+		end := Answered
+		if target.waiting > 0 {
+			end = AnsweredBusy
+		}
+		q.room.Release(q.now, q.ticket, end)
+		if took := q.now - q.since; took <= playAim {
+			q.got.onTime++
+		} else if took <= playLimit {
+			q.got.late++
+		} else {
+			q.got.refused++
+		}
+		if q.isReturned {
+			q.got.returnedServed++
+		}
+		if len(target.pending) > 0 {
+			next := target.pending[0]
+			target.pending = target.pending[1:]
+			target.waiting--
+			next()
+		}
+	})
+}
+
+func (p *play) log(t *testing.T) {
+	t.Helper()
+	for name, c := range p.got {
+		t.Logf("%s: %d arrived, %d on time, %d late, %d refused, %d returned (%d served)", name, c.arrived, c.onTime, c.late, c.refused, c.returned, c.returnedServed)
+	}
+	t.Logf("%d sends, %d shed by full targets, %d waited, %d refusals of rooms, longest queue %d", p.sends, p.sheds, p.waited, p.roomRefusals, p.maxQueued)
+}
+
+// even returns streams of equal accounts that add up to a rate.
+func even(name string, accounts, rank int, perSecond float64, from, till time.Duration) []stream {
+	var streams []stream
+	for i := range accounts {
+		streams = append(streams, stream{
+			name: name, account: ferry.AccountID(fmt.Sprintf("%s-%d", name, i)), rank: rank,
+			perSecond: perSecond / float64(accounts), from: from, till: till,
+		})
+	}
+	return streams
+}
+
+// Bursts of 1.4 to 2.5 times capacity: callers get what the capacity allows, on time,
+// and few requests are sent to full targets.
+func TestBurstGetsTheCapacity(t *testing.T) {
+	t.Parallel()
+	for _, vms := range []int{3, 24} {
+		for _, factor := range []float64{1.4, 1.8, 2.5} {
+			t.Run(fmt.Sprintf("%d VMs %.1f", vms, factor), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				p := newPlay(3, vms, 12)
+				capacity := p.capacity()
+				p.run(append(even("burst", 20, 0, capacity*factor, time.Second, 7*time.Second),
+					even("calm", 20, 0, capacity*0.5, 0, time.Second)...)...)
+				p.log(t)
+				got := p.got["burst"]
+				// A request that is on time starts early enough for its work.
+				bound := min(1, capacity*(6+(playAim-playWork).Seconds())/float64(got.arrived))
+				t.Logf("bound %.3f, served %.3f", bound, got.served())
+				is.True(got.served() >= 0.9*bound)
+				// Most are served within the objective, and sheds are rare.
+				is.True(got.late*4 <= got.onTime)
+				is.True(p.sheds*10 <= p.sends)
+			})
+		}
+	}
+}
+
+// Load within the capacity is admitted without waits.
+func TestLoadWithinCapacityIsUntouched(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newPlay(4, 12, 24)
+	p.run(even("usual", 30, 0, p.capacity()*0.6, 0, 10*time.Second)...)
+	p.log(t)
+	is.Equal(p.waited, 0)
+	is.Equal(p.roomRefusals, 0)
+}
+
+// Targets shed 55% at random, whatever their load: the room takes no part.
+func TestRandomShedsAreNoLackOfRoom(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newPlay(5, 12, 24)
+	p.shedShare = 0.55
+	p.run(even("usual", 30, 0, p.capacity()*0.5, 0, 8*time.Second)...)
+	p.log(t)
+	is.Equal(p.waited, 0)
+	is.Equal(p.roomRefusals, 0)
+}
+
+// One account at seven times its usual takes less than two points from the others.
+func TestHotAccountTakesNothingFromOthers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	without, with := newPlay(6, 6, 12), newPlay(6, 6, 12)
+	usual := without.capacity() * 0.8
+	others := even("others", 19, 0, usual*0.95, 0, 8*time.Second)
+	without.run(append(others, even("hot", 1, 0, usual*0.05, 0, 8*time.Second)...)...)
+	with.run(append(others, even("hot", 1, 0, usual*0.05*7, time.Second, 8*time.Second)...)...)
+	with.log(t)
+	is.True(with.got["others"].served() >= without.got["others"].served()-0.02)
+}
+
+// A third of the targets is gone under a load of nine tenths of the capacity.
+func TestThirdOfCapacityGone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newPlay(7, 6, 12)
+	load := p.capacity() * 0.9
+	p.after(2*time.Second, func() {
+		for _, target := range p.targets[:4] {
+			target.isGone = true
+		}
+	})
+	p.run(even("usual", 20, 0, load, 0, 8*time.Second)...)
+	p.log(t)
+	bound := (2 + 6*8.0/12/0.9) / 8
+	t.Logf("bound %.3f, served %.3f", bound, p.got["usual"].served())
+	is.True(p.got["usual"].served() >= 0.9*bound)
+}
+
+// An urgent kind bursts beside a large one: it is served first, and the large one keeps
+// the part that the setting names.
+func TestUrgentBurstBesideLargeKind(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newPlay(8, 6, 12)
+	capacity := p.capacity()
+	p.run(append(even("urgent", 5, 0, capacity*0.8, time.Second, 7*time.Second),
+		even("large", 20, 2, capacity*0.9, 0, 8*time.Second)...)...)
+	p.log(t)
+	urgent, large := p.got["urgent"], p.got["large"]
+	is.True(urgent.served() >= 0.9)
+	left := capacity * (8 - 6*0.8)
+	is.True(float64(large.onTime+large.late) >= 0.8*left)
+}
+
+// A rank that would get nothing keeps its part.
+func TestNoRankStarves(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newPlay(9, 3, 12)
+	capacity := p.capacity()
+	p.run(append(even("urgent", 5, 0, capacity*2, 0, 8*time.Second), even("low", 5, 3, capacity*0.5, 0, 8*time.Second)...)...)
+	p.log(t)
+	low := p.got["low"]
+	is.True(float64(low.onTime+low.late) >= 0.5*DefaultLowerRankShare*capacity*8)
+}
+
+// Refused callers that come back when they were told are served, where new ones of the
+// burst are not, and don't return at one moment.
+func TestRefusedCallersReturnInTheirTime(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newPlay(10, 1, 12)
+	p.returns = true
+	capacity := p.capacity()
+	p.run(even("burst", 20, 0, capacity*1.8, time.Second, 4*time.Second)...)
+	p.log(t)
+	got := p.got["burst"]
+	is.True(got.returned > 100)
+	is.True(float64(got.returnedServed) >= 0.5*float64(got.returned))
+}
