relay: requests pass the room of their service

Cause: see the package room. The request path had no queue and no notion of a full service; a full target's shed led to four more sends.

Change: Forwarder asks the room before the first attempt and after a shed by a target that reports its slots full and requests waiting; other sheds are failures of the target, resent within the budget as before. A caller that leaves gives its place back. Refusals are 503 Overload, not run, with the time at which room is expected. Metrics, one bounded log line for each decision to wait, admit after a wait, or refuse. The test dialect reads a load, and the harness keeps its forwarder, for the new tests.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -15,6 +15,7 @@
 
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/place"
+	"monsoonferry.org/ferry/room"
 )
 
 const (
@@ -65,6 +66,7 @@
 	metrics   *Metrics
 	latencies latencies
 	splitter  serviceSplitter
+	rooms     rooms
 }
 
 // NewForwarder returns a Forwarder.
@@ -115,6 +117,11 @@
 	latest      *pendingAttempt
 	checkpoints []checkpoint
 	cancel      context.CancelFunc
+	// room decides for the service, wanted is what it knows of the request, and ticket
+	// the request's place in it, or nil.
+	room   *serviceRoom
+	wanted room.Request
+	ticket *room.Ticket
 }
 
 // checkpoint is a time after which a missing response counts as evidence.
@@ -161,7 +168,10 @@
 	var sendCtx context.Context
 	sendCtx, r.cancel = context.WithTimeout(sendBase, remaining)
 	f.budgets.Deposit(r.service)
-	err = f.sendAttempts(ctx, sendCtx, r)
+	if err = f.enterRoom(ctx, sendCtx, r); err == nil {
+		err = f.sendAttempts(ctx, sendCtx, r)
+	}
+	r.leaveRoom(room.Failed)
 	if r.isIdempotent || r.inFlight == 0 || !errors.Is(err, context.Canceled) {
 		r.cancel()
 	}
@@ -360,7 +370,7 @@
 		r.possibleRuns++
 	}
 	if a.outcome == ferry.OutcomeDone && a.verdict == ferry.VerdictGood {
-		return true, f.deliver(ctx, r, a)
+		return true, f.deliverGood(ctx, r, a)
 	}
 	if a.outcome == ferry.OutcomeDone && a.verdict == ferry.VerdictErrorStatus && r.fallback == nil {
 		r.fallback = a
@@ -371,16 +381,30 @@
 		}
 		return true, f.expire(r)
 	}
-	isRetryable := a.outcome.IsSafeToRetry() && r.possibleRuns == 0 || r.isIdempotent
 	if r.inFlight > 0 {
 		return false, nil
 	}
-	if isRetryable && r.body.isReplayable() && f.allowsRetry(r, a) {
+	if r.ticket != nil && r.possibleRuns == 0 && isFull(a) {
+		return f.handleFull(ctx, sendCtx, r, a, timer)
+	}
+	return f.tryAgain(ctx, sendCtx, r, a, timer)
+}
+
+// tryAgain sends a request again after its last attempt, or gives it up.
+func (f *Forwarder) tryAgain(ctx, sendCtx context.Context, r *requestState, a *attempt, timer *time.Timer) (isFinal bool, err error) {
+	if f.mayTryAgain(r, a) {
 		if err = f.startAttempt(sendCtx, r, timer); err == nil {
 			return false, nil
 		}
 	}
-	return true, f.giveUp(ctx, r)
+	return true, f.giveUp(ctx, r, a)
+}
+
+// mayTryAgain reports whether a request may be sent again after a, and takes what that
+// costs from the retry budget.
+func (f *Forwarder) mayTryAgain(r *requestState, a *attempt) bool {
+	isRetryable := a.outcome.IsSafeToRetry() && r.possibleRuns == 0 || r.isIdempotent
+	return isRetryable && r.body.isReplayable() && f.allowsRetry(r, a)
 }
 
 // allowsRetry reports whether another attempt is allowed after a. It costs no
@@ -392,15 +416,30 @@
 	return f.takeRetry(r)
 }
 
+// deliverGood sends the response to the caller. The target's slot is free once the whole
+// response was read.
+func (f *Forwarder) deliverGood(ctx context.Context, r *requestState, a *attempt) error {
+	if a.response.rest == nil {
+		r.leaveRoom(endOf(a))
+	}
+	err := f.deliver(ctx, r, a)
+	r.leaveRoom(endOf(a))
+	return err
+}
+
 // giveUp ends a request whose attempts have all failed.
-func (f *Forwarder) giveUp(ctx context.Context, r *requestState) error {
+func (f *Forwarder) giveUp(ctx context.Context, r *requestState, last *attempt) error {
 	if r.fallback != nil {
 		return f.deliver(ctx, r, r.fallback)
 	}
 	if r.possibleRuns > 0 {
 		return f.refuse(r, http.StatusBadGateway, ferry.ReasonTargetFailed, 0, "the target's answer was lost")
 	}
-	return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonOverload, shedRetryAfter, "every tried target was full or away")
+	retryAfter := shedRetryAfter
+	if isFull(last) {
+		retryAfter = f.returnAfterFull(r)
+	}
+	return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonOverload, retryAfter, "every tried target was full or away")
 }
 
 // expire refuses a request whose deadline has passed.
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -36,6 +37,7 @@
 	testKeyHeader = "X-Key"
 	testLeaving   = "X-Leaving"
 	testBackoff   = "X-Backoff"
+	testLoad      = "X-Load"
 )
 
 // testDialect implements ferry.Dialect.
@@ -61,8 +63,12 @@
 
 func (testDialect) ReadResponse(status int, header http.Header) ferry.ResponseMetadata {
 	backoff, _ := time.ParseDuration(header.Get(testBackoff))
+	var load ferry.TargetLoad
+	if _, err := fmt.Sscanf(header.Get(testLoad), "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots); err == nil {
+		load.Known = true
+	}
 	return ferry.ResponseMetadata{
-		Leaving: header.Get(testLeaving) != "", Backoff: backoff,
+		Load: load, Leaving: header.Get(testLeaving) != "", Backoff: backoff,
 		ID: header.Get(testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest,
 		Misdirected: status == http.StatusMisdirectedRequest, Signed: header.Get(testSigned) != "",
 	}
@@ -198,6 +204,7 @@
 	targets    []*testTargetServer
 	limiter    atomic.Pointer[slowLimiter]
 	metrics    *metrics.Set
+	forwarder  *Forwarder
 }
 
 // Admit implements ferry.Limiter. Without a limiter it admits every request.
@@ -238,6 +245,7 @@
 	h.metrics = metrics.NewSet()
 	counters := NewMetrics(h.metrics)
 	forwarder := NewForwarder(clock, testDialect{}, h.chooser, h.budgets, &Pool{}, h.guard, testReporter{}, log, counters)
+	h.forwarder = forwarder
 	chain := ferry.Chain(forwarder, RouteFilter{Freshness: h.guard}, AccountFilter{Freshness: h.guard}, BodyFilter{}, AllowanceFilter{Limiter: h})
 	h.server = NewServer(chain, testSnapshots{view: conf.NewSnapshot(inventory)}, testDialect{}, clock, log, counters)
 	// As on a VM, the listener keeps a response from being lost when its connection closes.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/room"
 )
 
 // Metrics counts the decisions of the request path. Its labels have a bounded
@@ -53,3 +54,22 @@
 func (m *Metrics) countAborted(route *ferry.Route) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_aborted_total{kind=%q}`, kindLabel(route))).Inc()
 }
+
+// addRoom registers the gauges of a service's room. Services are as many as the
+// configuration has.
+func (m *Metrics) addRoom(service ferry.ServiceID, status func() room.Status) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`ferry_room_queue_length{service=%q}`, service), func() float64 { return float64(status().Queued) })
+	m.set.GetOrCreateGauge(fmt.Sprintf(`ferry_room_limit{service=%q}`, service), func() float64 { return status().Limit })
+}
+
+func (m *Metrics) countRoomRefusal(service ferry.ServiceID, rank int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_room_refusals_total{service=%q,rank="%d"}`, service, rank)).Inc()
+}
+
+func (m *Metrics) observeRoomWait(service ferry.ServiceID, waited time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`ferry_room_wait_seconds{service=%q}`, service)).Update(waited.Seconds())
+}
+
+func (m *Metrics) countRoomLineDropped() {
+	m.set.GetOrCreateCounter(`ferry_room_lines_dropped_total`).Inc()
+}
