relay: the last tokens of the retry budget go to the retries of most worth

Cause: while a service sheds, the budget binds (about 0.23 resends a request), and a hedge, whose request still has an attempt in progress, took the same token as the resend of a request without another chance; so did a less urgent rank.

The bound is the same: each retry takes a token of the same bucket.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -360,7 +360,8 @@
 	if maxAttempts == 0 {
 		maxAttempts = defaultAttempts
 	}
-	return r.possibleRuns+r.inFlight < maxAttempts && len(r.tried) < maxSends && f.budgets.TryWithdraw(r.service)
+	wanted := Resend{Rank: rankOf(r.exchange), IsHedge: r.inFlight > 0}
+	return r.possibleRuns+r.inFlight < maxAttempts && len(r.tried) < maxSends && f.budgets.TryWithdraw(monotonicTime(f.clock), r.service, wanted)
 }
 
 // handleResult responds to the caller after an attempt, starts another attempt
