grant: beyond an allowance, refuse at once from what the VM knows

Cause: each request of an account beyond its rate waited for the leader, a region away, to hear what the VM had heard some milliseconds before.

Change: after a refusal a token cache, also that of a place, counts the allowance as used up for 40 ms, or until the RetryAfter if that is sooner, and refuses at once; not while a token is cached. The returns are spread over the time that the refusal named. Ruled out: the whole RetryAfter, up to 2 s. It is the place in the schedule of all that were refused, while tokens accrue all the time.

--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -393,3 +393,52 @@
 	}
 	is.True(last >= 500*time.Millisecond)
 }
+
+// Shortly after a refusal requests are refused at once, spread in time; not while a token
+// is cached, and the first one after that asks again.
+func TestKnownEmptyAllowance(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	cache := &TokenCache{Account: "account"}
+	refuse := func(now time.Duration, sequence uint64) {
+		waiter := cache.Take(now)
+		request, isDue := cache.NextRequest(now, sequence)
+		is.True(isDue)
+		cache.HandleReply(now, TokenReply{Sequence: request.Sequence, Account: "account", RetryAfter: 300 * time.Millisecond})
+		is.Equal((<-waiter.Result).RetryAfter, 300*time.Millisecond)
+	}
+	refuse(0, 1)
+	times := map[time.Duration]bool{}
+	for i := range 20 {
+		now := time.Duration(i) * time.Millisecond
+		result := <-cache.Take(now).Result
+		is.True(!result.Granted && result.RetryAfter >= 300*time.Millisecond-now && result.RetryAfter <= maxRetryAfter)
+		times[(now + result.RetryAfter).Round(5*time.Millisecond)] = true
+		_, isDue := cache.NextRequest(now, 2)
+		is.True(!isDue)
+	}
+	is.True(len(times) >= 15)
+	refuse(maxKnownEmpty, 3)
+	cache.HandleReply(maxKnownEmpty, TokenReply{Sequence: 3, Account: "account"})
+	cache.expiries = append(cache.expiries, time.Second)
+	is.Equal(cache.Take(maxKnownEmpty+time.Millisecond), nil)
+}
+
+// Immediate refusals take nothing from an account that sends far beyond its rate, also
+// when its burst is small.
+func TestKnownEmptyCostsNoTokens(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		rate, burst float64
+		vms, places int
+	}{{50, 50, 36, 6}, {200, 40, 36, 6}, {200, 40, 3, 0}, {500, 50, 107, 6}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(8, c.vms, c.rate, c.burst).withPlaceCaches(c.places)
+			f.run(10*time.Second, 7*c.rate)
+			t.Logf("%d admitted of %.0f, %d refused, %d token requests", len(f.admitted), c.rate*10+c.burst, f.refused, f.requests)
+			is.True(float64(len(f.admitted)) >= 0.95*c.rate*10)
+		})
+	}
+}
--- a/grant/token_cache.go
+++ b/grant/token_cache.go
@@ -23,6 +23,16 @@
 	prefetchBackoff = 500 * time.Millisecond
 	// useRateDecay is the time constant of the exponential decay of past use.
 	useRateDecay = time.Second
+	// maxKnownEmpty bounds the time after a refusal in which the allowance counts as used
+	// up without another request: a few round trips between regions. The RetryAfter of
+	// the refusal is longer, since it is the place in the schedule of all that were
+	// refused, while tokens accrue all the time: a VM that waited so long would lose them.
+	maxKnownEmpty = 40 * time.Millisecond
+	// minSpread is the least time over which immediate refusals are spread.
+	minSpread = 100 * time.Millisecond
+	// spreadStep is the golden ratio less 1: the fractional parts of its multiples
+	// spread evenly.
+	spreadStep = 0.6180339887
 	// idleAfter is the time since the last use after which an account is idle.
 	idleAfter = 2 * time.Second
 )
@@ -68,9 +78,14 @@
 	prefetchBlockedUntil time.Duration
 	// useRate is the recent use in tokens per second, as of lastUsed.
 	useRate float64
+	// emptyUntil is when tokens are requested again after a refusal, and returnAt the
+	// time that the last refusal named. refusals counts those in between.
+	emptyUntil, returnAt time.Duration
+	refusals             int
 }
 
-// Take spends a cached token and returns nil, or returns a Waiter for a token.
+// Take spends a cached token and returns nil, or returns a Waiter for a token. Shortly
+// after a refusal the Waiter is refused already.
 func (c *TokenCache) Take(now time.Duration) *Waiter {
 	c.useRate = c.useRateAt(now) + 1/useRateDecay.Seconds()
 	c.lastUsed, c.wasUsed = now, true
@@ -80,10 +95,24 @@
 		return nil
 	}
 	waiter := &Waiter{Result: make(chan WaitResult, 1)}
+	if len(c.waiters) == 0 && now < c.emptyUntil {
+		waiter.Result <- WaitResult{RetryAfter: c.nextReturn(now)}
+		return waiter
+	}
 	c.waiters = append(c.waiters, waiter)
 	return waiter
 }
 
+// nextReturn returns the RetryAfter of an immediate refusal. Refused requests return
+// one after the other, over as much time as the refusal of the issuer named.
+func (c *TokenCache) nextReturn(now time.Duration) time.Duration {
+	c.refusals++
+	_, part := math.Modf(float64(c.refusals) * spreadStep)
+	remaining := c.returnAt - now
+	spread := max(remaining, minSpread)
+	return min(maxRetryAfter, max(0, remaining)+time.Duration(part*float64(spread)))
+}
+
 // useRateAt returns the recent use in tokens per second, decayed until now.
 func (c *TokenCache) useRateAt(now time.Duration) float64 {
 	return c.useRate * math.Exp(-(now-c.lastUsed).Seconds()/useRateDecay.Seconds())
@@ -172,6 +201,7 @@
 		c.expiries = append(c.expiries, request.sentAt+TokenLifetime)
 	}
 	if reply.RetryAfter > 0 {
+		c.returnAt, c.emptyUntil = now+reply.RetryAfter, now+min(maxKnownEmpty, reply.RetryAfter)
 		c.resolve(request.waiting-reply.Count, WaitResult{RetryAfter: reply.RetryAfter}, isForRequest)
 	}
 	c.grantCached(now)
