node: /status shows the room of each service; LowerRankShare is a setting

Cause: operators could not see who waits, and the part that a less urgent rank keeps was a constant.

Change: Rooms in /status: limit, in flight, queued, expected wait, age of the last report of a full target.

--- a/conf/node.go
+++ b/conf/node.go
@@ -37,7 +37,10 @@
 	// TargetHeartbeat is the interval in which targets renew their entries in the
 	// store, or zero for the default.
 	TargetHeartbeat time.Duration
-	Bounds          Bounds
+	// LowerRankShare is the part of a service's room that each rank keeps beside more
+	// urgent ones while requests wait, from 0 to 1, or zero for the default.
+	LowerRankShare float64
+	Bounds         Bounds
 }
 
 // Bounds are the limits that operators set for a fleet.
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,7 @@
 	budgets       *relay.RetryBudgets
 	pool          *relay.Pool
 	server        *relay.Server
+	forwarder     *relay.Forwarder
 	limiter       *tokenLimiter
 	callerServer  *http.Server
 	listener      *drain.Listener
@@ -131,8 +132,9 @@
 	n.budgets.SetBounds(bounds.RetryRatio, bounds.RetrySlack, 1)
 	n.limiter = &tokenLimiter{clock: dependencies.Clock, send: n.sendTokenRequest, caches: map[ferry.AccountID]*grant.TokenCache{}}
 	counters := relay.NewMetrics(n.metrics)
-	forwarder := relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
-	chain := ferry.Chain(forwarder,
+	n.forwarder = relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
+	n.forwarder.SetLowerRankShare(settings.LowerRankShare)
+	chain := ferry.Chain(n.forwarder,
 		relay.RouteFilter{Freshness: n.state}, relay.AccountFilter{Freshness: n.state}, relay.BodyFilter{}, relay.AllowanceFilter{Limiter: n.limiter})
 	n.server = relay.NewServer(chain, n.state, dependencies.Dialect, dependencies.Clock, dependencies.Log, counters)
 	self := lead.VM{
--- a/node/report.go
+++ b/node/report.go
@@ -48,12 +48,27 @@
 	HeldShare     float64
 	InFlight      int64
 	DroppedEvents int64
+	// Rooms are the services that requests of this VM went to, with their room.
+	Rooms []RoomStatus `json:",omitempty"`
 	// Evacuations are the places whose targets get no more requests.
 	Evacuations []EvacuationStatus
 	Members     []Member
 	Targets     []TargetStatus
 }
 
+// RoomStatus is the room of one service at this VM.
+type RoomStatus struct {
+	Service ferry.ServiceID
+	// Limit is the number of requests in flight that are allowed, zero for any.
+	Limit    float64
+	InFlight int
+	Queued   int
+	// ExpectedWait is that of a further request of the most urgent rank.
+	ExpectedWait string `json:",omitempty"`
+	// ReportAge is the time since the last report of a full target, with a limit.
+	ReportAge string `json:",omitempty"`
+}
+
 // EvacuationStatus is the evacuation of a place as this VM sees it.
 type EvacuationStatus struct {
 	Place ferry.PlaceID
@@ -135,6 +150,13 @@
 	if age, ok := n.state.proofAge(); ok {
 		status.ProofAge = age.String()
 	}
+	for _, service := range n.forwarder.Rooms() {
+		room := RoomStatus{Service: service.Service, Limit: service.Limit, InFlight: service.InFlight, Queued: service.Queued}
+		if service.Limit > 0 {
+			room.ExpectedWait, room.ReportAge = service.ExpectedWait.String(), service.ReportAge.String()
+		}
+		status.Rooms = append(status.Rooms, room)
+	}
 	for _, evacuation := range n.chooser.Evacuations() {
 		status.Evacuations = append(status.Evacuations, EvacuationStatus{
 			Place: evacuation.Place, Known: (now.Monotonic - evacuation.Since).String(), Complete: now.Monotonic >= evacuation.Until,
