--- a/relay/doc.go
+++ b/relay/doc.go
@@ -15,6 +15,10 @@
 // a bound are read before the first attempt, and responses up to a bound before
 // the caller gets the first byte, so that a truncated response can be replaced.
 //
+// Before its first attempt, and after a target shed it because all slots were taken, a
+// request passes the room of its service (package room): while targets are full it may
+// wait or be refused.
+//
 // The package keeps its own connections to targets, because package http may
 // retry a request by itself and does not report whether a byte was sent.
 //
--- a/relay/room.go
+++ b/relay/room.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -156,7 +157,7 @@
 	if !decision.IsWaiting {
 		return nil
 	}
-	f.logRoom(ctx, r, "waits", slog.Duration("expectedWait", decision.ExpectedWait))
+	f.logRoom(ctx, r, "waits", slog.Duration("expectedWait", decision.ExpectedWait), slog.Bool("returning", decision.IsReturning))
 	timer := time.NewTimer(decision.Ticket.Until - monotonicTime(f.clock))
 	defer timer.Stop()
 	var resolution room.Resolution
@@ -296,7 +297,7 @@
 	f.log.LogAttrs(ctx, slog.LevelInfo, "room", append([]slog.Attr{
 		slog.String("request", r.exchange.Metadata.ID), slog.String("decision", decision),
 		slog.String("service", string(r.service)), slog.String("account", string(r.wanted.Account)), slog.Int("rank", r.wanted.Rank),
-		slog.Float64("limit", status.Limit), slog.Int("inFlight", status.InFlight), slog.Int("queued", status.Queued),
+		slog.Float64("limit", math.Round(100*status.Limit)/100), slog.Int("inFlight", status.InFlight), slog.Int("queued", status.Queued),
 		slog.Duration("reportAge", status.ReportAge),
 	}, more...)...)
 }
--- a/room/room.go
+++ b/room/room.go
@@ -91,7 +91,10 @@
 type Decision struct {
 	Ticket *Ticket
 	// IsWaiting reports that the Ticket's Result decides.
-	IsWaiting    bool
+	IsWaiting bool
+	// IsReturning reports that it goes before new requests: it came back in its time, or
+	// a full target shed it.
+	IsReturning  bool
 	ExpectedWait time.Duration
 	Refusal      *Refusal
 }
@@ -290,7 +293,7 @@
 	r.queued++
 	r.bytes += t.request.Bytes
 	r.Dispatch(now)
-	return Decision{Ticket: t, IsWaiting: true, ExpectedWait: wait}
+	return Decision{Ticket: t, IsWaiting: true, IsReturning: isReturning, ExpectedWait: wait}
 }
 
 // neededTime is the time that a request needs once it is admitted, by an optimistic
