--- a/conf/node.go
+++ b/conf/node.go
@@ -34,12 +34,17 @@
 	Millicores uint32
 	// IsFirst reports that the whole fleet starts for the first time.
 	IsFirst bool
+	// FleetSize is the number of VMs that operators expect, or zero if unknown.
+	FleetSize int
 	// TargetHeartbeat is the interval in which targets renew their entries in the
 	// store, or zero for the default.
 	TargetHeartbeat time.Duration
 	// SlotPreference is the extra cost of a target on which this VM owns no unused slot,
 	// as a fraction of the service time. With zero the slots of a place are not dealt.
 	SlotPreference float64
+	// LowerRankShare is the part of a service's room that each rank keeps beside more
+	// urgent ones while requests wait, from 0 to 1, or zero for the default.
+	LowerRankShare float64
 	Bounds         Bounds
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,7 @@
 	budgets       *relay.RetryBudgets
 	pool          *relay.Pool
 	server        *relay.Server
+	forwarder     *relay.Forwarder
 	limiter       *tokenLimiter
 	callerServer  *http.Server
 	listener      *drain.Listener
@@ -112,7 +113,7 @@
 	settings := dependencies.Settings
 	n := &Node{
 		dependencies: dependencies, log: dependencies.Log, clock: dependencies.Clock,
-		state:        &requestState{clock: dependencies.Clock},
+		state:        &requestState{clock: dependencies.Clock, first: make(chan struct{})},
 		directory:    &Directory{regions: settings.Regions, lifetime: settings.Bounds.EntryLifetime},
 		chooser:      place.NewChooser(settings.Place, settings.Regions),
 		budgets:      &relay.RetryBudgets{},
@@ -133,8 +134,9 @@
 	n.budgets.SetBounds(bounds.RetryRatio, bounds.RetrySlack, 1)
 	n.limiter = &tokenLimiter{clock: dependencies.Clock, send: n.sendTokenRequest, caches: map[ferry.AccountID]*grant.TokenCache{}}
 	counters := relay.NewMetrics(n.metrics)
-	forwarder := relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
-	chain := ferry.Chain(forwarder,
+	n.forwarder = relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
+	n.forwarder.SetLowerRankShare(settings.LowerRankShare)
+	chain := ferry.Chain(n.forwarder,
 		relay.RouteFilter{Freshness: n.state}, relay.AccountFilter{Freshness: n.state}, relay.BodyFilter{}, relay.AllowanceFilter{Limiter: n.limiter})
 	n.server = relay.NewServer(chain, n.state, dependencies.Dialect, dependencies.Clock, dependencies.Log, counters)
 	self := lead.VM{
@@ -142,7 +144,7 @@
 		Callers: settings.Callers, ControlPort: settings.Control.Port(), Millicores: settings.Millicores,
 	}
 	n.controller = lead.NewController(dependencies.Clock.Now(), self, settings.Seeds, dependencies.Decoder,
-		lead.Options{CanRead: true, IsFirst: settings.IsFirst, Regions: settings.Regions, TargetHeartbeat: settings.TargetHeartbeat, Jitter: rand.Float64()})
+		lead.Options{CanRead: true, IsFirst: settings.IsFirst, FleetSize: settings.FleetSize, Regions: settings.Regions, TargetHeartbeat: settings.TargetHeartbeat, Jitter: rand.Float64()})
 	return n
 }
 
--- a/place/chooser.go
+++ b/place/chooser.go
@@ -34,6 +34,8 @@
 	Bytes int64
 	// Homes are the regions that may serve the request.
 	Homes Homes
+	// Wall is the wall clock at the choice, by which credits expire too, or zero.
+	Wall time.Duration
 }
 
 // Pick is a chosen target.
@@ -49,6 +51,8 @@
 	// Slot tells whose slot the request uses.
 	Slot  SlotKind
 	state *targetState
+	// credit is the credit taken for the request, or nil.
+	credit *coldCredit
 }
 
 // Report is the result of an attempt.
@@ -67,8 +71,8 @@
 	// region is the bit of the region of the target's place, or empty if it is unknown.
 	region regionSet
 	// evacuation is that of the target's place, or nil.
-	evacuation  atomic.Pointer[Evacuation]
-	coldUntil   time.Duration
+	evacuation atomic.Pointer[Evacuation]
+	warmth
 	ownRequests atomic.Int32
 	// chosenAt is when this VM last chose the target.
 	chosenAt atomic.Int64
@@ -104,6 +108,8 @@
 	unsafeThreshold threshold
 	// lastSafeAt is the time of the last retryable request.
 	lastSafeAt atomic.Int64
+	// coldRate are the bits of the rate, a float64, that a cold target tolerates.
+	coldRate atomic.Uint64
 	// asked is the target that the place leader asked for last, or nil.
 	asked atomic.Pointer[askedTarget]
 }
@@ -140,6 +146,7 @@
 	choices atomic.Uint64
 	used    usedTargets
 	slots   slotPreference
+	cold    coldState
 }
 
 // NewChooser returns the chooser of a VM in the place.
@@ -160,11 +167,12 @@
 		present[target.ID] = true
 		state := c.states[target.ID]
 		if state == nil || !isSameProcess(state.target, target) {
-			state = &targetState{target: target, region: c.regionBits[c.regions[target.Place]], coldUntil: now + target.ColdFor, ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
+			state = &targetState{target: target, region: c.regionBits[c.regions[target.Place]], ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
 			state.apply(c.standings.get(target.Process()))
 			state.evacuation.Store(findEvacuation(c.evacuations(), target.Place))
 			c.states[target.ID] = state
 		}
+		c.updateWarmth(now, state, target)
 		if target.Leaving {
 			continue
 		}
@@ -176,6 +184,7 @@
 				s.averageUse.Store(old.averageUse.Load())
 				s.asked.Store(old.asked.Load())
 			}
+			s.coldRate.Store(math.Float64bits(c.cold.rules[target.Service].rate))
 			next.services[target.Service] = s
 		}
 		s.states = append(s.states, state)
@@ -241,6 +250,8 @@
 	SaidLeaving bool
 	// Backoff is how long the target gets no request because it asked for a pause.
 	Backoff time.Duration
+	// ColdFor is the rest of the warm-up.
+	ColdFor time.Duration
 }
 
 // List returns all targets, ordered by ID.
@@ -251,6 +262,7 @@
 			Target: s.target, LogOdds: s.logOdds(now), OwnRequests: int(s.ownRequests.Load()),
 			SaidLeaving: s.isLeaving.Load(), Backoff: max(0, time.Duration(s.closedUntil.Load())-now),
 			OwnedSlots: int(s.ownedSlots.Load()),
+			ColdFor:    max(0, time.Duration(s.coldUntil.Load())-now),
 		})
 	}
 	slices.SortFunc(list, func(a, b TargetView) int { return strings.Compare(string(a.Target.ID), string(b.Target.ID)) })
@@ -267,25 +279,24 @@
 	avoidAbove := s.avoidThreshold(now, attempt.IsRetryable, c.floor())
 	serviceTime := time.Duration(math.Float64frombits(s.serviceTime.Load()) * float64(time.Second))
 	averageUse := math.Float64frombits(s.averageUse.Load())
-	asked := s.askedFor(now, attempt)
+	asked, hasSafe := s.askedFor(now, attempt), s.hasRetryable(now)
 	lowest := time.Duration(math.MaxInt64)
 	var random rand.PCG
 	random.Seed(c.seed, c.choices.Add(1))
 	reach, departure := c.reachOf(attempt.Homes), c.newDeparture(&random)
+	isSpread := attempt.IsRetryable || random.Uint64()%spreadInterval == 0
 	for _, candidate := range s.states {
-		if candidate.isClosed(now) || !reach.includes(candidate) || slices.Contains(attempt.Tried, candidate.target.ID) {
+		if candidate.isClosed(now) || !reach.includes(candidate) || slices.Contains(attempt.Tried, candidate.target.ID) || candidate.lacksCredit(now, &attempt) {
 			continue
 		}
 		input := c.costInput(now, candidate, serviceTime, averageUse)
-		if input.LogOdds <= avoidAbove {
-			input.LogOdds = min(input.LogOdds, healthyLogOdds)
-		}
 		input.IsRetryable, input.Bytes = attempt.IsRetryable, attempt.Bytes
+		input.tolerate(avoidAbove, isSpread)
 		cost := Cost(input) + c.slotCost(candidate, input)
 		if IsTrialDue(input, now-time.Duration(candidate.chosenAt.Load()), int(c.placeVMs.Load())) {
 			cost = -maxJitter
 		}
-		if candidate.target.ID == asked && mayUseAsked(input) {
+		if candidate.target.ID == asked && mayUseAsked(input, hasSafe) {
 			cost = -2 * maxJitter
 		}
 		cost += departure.cost(now, candidate)
@@ -297,6 +308,12 @@
 	if pick.state == nil {
 		return Pick{}, false
 	}
+	if pick.credit, ok = pick.state.takeCredit(now, &attempt); !ok {
+		return c.Choose(now, attempt) // another request took the credit meanwhile
+	}
+	if pick.credit != nil {
+		c.cold.used.Add(1)
+	}
 	pick.state.ownRequests.Add(1)
 	pick.state.chosenAt.Store(int64(now))
 	c.used.add(pick.state)
@@ -313,12 +330,19 @@
 		s.lastSafeAt.Store(int64(max(1, now)))
 		return s.safeThreshold.current(now, s, floor)
 	}
-	if at := time.Duration(s.lastSafeAt.Load()); at != 0 && now-at < safeWindow {
+	if s.hasRetryable(now) {
 		floor = min(floor, unsafeFloor)
 	}
 	return s.unsafeThreshold.current(now, s, floor)
 }
 
+// hasRetryable reports whether this VM had a retryable request of the service within
+// safeWindow. Such requests keep suspects in use.
+func (s *service) hasRetryable(now time.Duration) bool {
+	at := time.Duration(s.lastSafeAt.Load())
+	return at != 0 && now-at < safeWindow
+}
+
 // current returns the threshold of s, recomputed after thresholdInterval.
 func (t *threshold) current(now time.Duration, s *service, floor float64) float64 {
 	if at := time.Duration(t.computedAt.Load()); at != 0 && now-at < thresholdInterval {
@@ -347,7 +371,7 @@
 		OwnRequests:   int(s.ownRequests.Load()),
 		OtherRequests: estimateOtherRequests(math.Float64frombits(s.otherRequests.Load()), age, averageUse, s.slotsOfOthers(slots)),
 		ServiceTime:   serviceTime,
-		Cold:          now < s.coldUntil,
+		Cold:          s.isCold(now),
 		LogOdds:       s.logOdds(now),
 	}
 }
--- a/place/notice.go
+++ b/place/notice.go
@@ -140,7 +140,7 @@
 // Its notices, or the evacuation of its place, may have come while the connection was
 // opened.
 func (c *Chooser) MaySend(now time.Duration, pick Pick) bool {
-	if pick.state.isClosed(now) {
+	if pick.state.isClosed(now) || !pick.maySendCold(now) {
 		return false
 	}
 	// The entry of the target may have changed since, so that only its place tells.
--- a/place/slots.go
+++ b/place/slots.go
@@ -154,9 +154,9 @@
 	for _, state := range s.states {
 		switch {
 		case state.target.Place != c.place || state.target.Slots <= 0 || state.evacuation.Load() != nil:
-		case now < state.coldUntil:
-			if c.slots.warmAt == 0 || state.coldUntil < c.slots.warmAt {
-				c.slots.warmAt = state.coldUntil
+		case state.isCold(now):
+			if warmAt := time.Duration(state.coldUntil.Load()); c.slots.warmAt == 0 || warmAt < c.slots.warmAt {
+				c.slots.warmAt = warmAt
 			}
 		default:
 			dealt = append(dealt, state)
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -44,7 +44,7 @@
 // order in which Write prints them.
 var stateMessages = []string{
 	startMessage, "configuration", "freshness", "records", "evacuation", "lead", "view", "allowances divided", "store not read",
-	"readiness", "drain started",
+	"readiness", "cold target", "drain started",
 }
 
 // Line is one log line.
