place, relay: use by place, spread of averages, idle connections

Change: with UseByPlace the average is kept for each service and place; one without a report for 15 s counts as idle. The part of a load that is only an average costs the wait of its spread. All off by default.

--- a/conf/node.go
+++ b/conf/node.go
@@ -42,6 +42,11 @@
 	// SlotPreference is the extra cost of a target on which this VM owns no unused slot,
 	// as a fraction of the service time. With zero the slots of a place are not dealt.
 	SlotPreference float64
+	// UseByPlace makes targets without a recent report count with the average use of
+	// their place instead of that of all places.
+	UseByPlace bool
+	// NewConnectionCost is the extra cost of a target without an idle connection.
+	NewConnectionCost time.Duration
 	// LowerRankShare is the part of a service's room that each rank keeps beside more
 	// urgent ones while requests wait, from 0 to 1, or zero for the default.
 	LowerRankShare float64
--- a/node/loop.go
+++ b/node/loop.go
@@ -100,7 +100,7 @@
 	bounds := settings.Bounds
 	n.state.bounds.Store(&bounds)
 	n.chooser.SetFloor(bounds.Floor)
-	n.chooser.SetSlotPreference(settings.SlotPreference)
+	n.chooser.SetEvenLoad(evenLoad(settings))
 	n.log.Info("settings reloaded", "seeds", len(settings.Seeds))
 	n.step(ctx, lead.SeedsChanged{Seeds: settings.Seeds})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -129,7 +129,7 @@
 	n.state.bounds.Store(&bounds)
 	n.chooser.SetFloor(bounds.Floor)
 	n.chooser.SetSeed(rand.Uint64())
-	n.chooser.SetSlotPreference(settings.SlotPreference)
+	n.chooser.SetEvenLoad(evenLoad(settings))
 	n.registerSlotMetrics()
 	n.budgets.SetBounds(bounds.RetryRatio, bounds.RetrySlack, 1)
 	n.limiter = &tokenLimiter{clock: dependencies.Clock, send: n.sendTokenRequest, caches: map[ferry.AccountID]*grant.TokenCache{}}
--- a/node/slots.go
+++ b/node/slots.go
@@ -1,5 +1,17 @@
 package node
 
+import (
+	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/place"
+)
+
+// evenLoad returns the settings by which the VMs of a place even the load of its targets.
+func evenLoad(settings conf.NodeSettings) place.EvenLoad {
+	return place.EvenLoad{
+		SlotPreference: settings.SlotPreference, UseByPlace: settings.UseByPlace, NewConnection: settings.NewConnectionCost,
+	}
+}
+
 // dealSlots deals the slots of the place's targets if VMs or targets changed. It runs at
 // ticks, since the view changes with every message while a fleet starts.
 func (n *Node) dealSlots() {
--- a/place/chooser.go
+++ b/place/chooser.go
@@ -76,6 +76,10 @@
 	ownRequests atomic.Int32
 	// chosenAt is when this VM last chose the target.
 	chosenAt atomic.Int64
+	// use is the average use in the target's place.
+	use *placeUse
+	// idleUntil is until when this VM has an idle connection.
+	idleUntil atomic.Int64
 	// ownedSlots is the number of slots that this VM owns.
 	ownedSlots atomic.Int32
 	// isUsed reports that usedTargets lists the target.
@@ -145,14 +149,18 @@
 	seed    uint64
 	choices atomic.Uint64
 	used    usedTargets
-	slots   slotPreference
-	cold    coldState
+	slots   slotState
+	even    atomic.Pointer[EvenLoad]
+	// uses holds the average use by place. Update adds to it.
+	uses map[placeService]*placeUse
+	cold coldState
 }
 
 // NewChooser returns the chooser of a VM in the place.
 func NewChooser(place ferry.PlaceID, regions ferry.Regions) *Chooser {
-	c := &Chooser{place: place, regions: regions, regionBits: regionBits(regions), states: map[ferry.TargetID]*targetState{}}
+	c := &Chooser{place: place, regions: regions, regionBits: regionBits(regions), states: map[ferry.TargetID]*targetState{}, uses: map[placeService]*placeUse{}}
 	c.table.Store(&serviceTable{services: map[ferry.ServiceID]*service{}})
+	c.even.Store(&EvenLoad{})
 	return c
 }
 
@@ -167,7 +175,7 @@
 		present[target.ID] = true
 		state := c.states[target.ID]
 		if state == nil || !isSameProcess(state.target, target) {
-			state = &targetState{target: target, region: c.regionBits[c.regions[target.Place]], ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
+			state = &targetState{target: target, region: c.regionBits[c.regions[target.Place]], ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now, use: c.useOf(target)}
 			state.apply(c.standings.get(target.Process()))
 			state.evacuation.Store(findEvacuation(c.evacuations(), target.Place))
 			c.states[target.ID] = state
@@ -283,16 +291,17 @@
 	lowest := time.Duration(math.MaxInt64)
 	var random rand.PCG
 	random.Seed(c.seed, c.choices.Add(1))
+	even := c.even.Load()
 	reach, departure := c.reachOf(attempt.Homes), c.newDeparture(&random)
 	isSpread := attempt.IsRetryable || random.Uint64()%spreadInterval == 0
 	for _, candidate := range s.states {
 		if candidate.isClosed(now) || !reach.includes(candidate) || slices.Contains(attempt.Tried, candidate.target.ID) || candidate.lacksCredit(now, &attempt) {
 			continue
 		}
-		input := c.costInput(now, candidate, serviceTime, averageUse)
+		input := c.costInput(now, candidate, serviceTime, even.averageUse(now, candidate, averageUse))
 		input.IsRetryable, input.Bytes = attempt.IsRetryable, attempt.Bytes
 		input.tolerate(avoidAbove, isSpread)
-		cost := Cost(input) + c.slotCost(candidate, input)
+		cost := Cost(input) + even.cost(now, candidate, &input)
 		if IsTrialDue(input, now-time.Duration(candidate.chosenAt.Load()), int(c.placeVMs.Load())) {
 			cost = -maxJitter
 		}
@@ -302,7 +311,7 @@
 		cost += departure.cost(now, candidate)
 		if jittered := cost + time.Duration(random.Uint64()%uint64(maxJitter)); jittered < lowest {
 			lowest = jittered
-			pick = Pick{Target: &candidate.target, Cost: cost, Wait: Wait(input), Distance: input.Distance, LogOdds: input.LogOdds, Slot: c.slotKind(candidate, input), state: candidate}
+			pick = Pick{Target: &candidate.target, Cost: cost, Wait: Wait(input), Distance: input.Distance, LogOdds: input.LogOdds, Slot: slotKind(candidate, &input), state: candidate}
 		}
 	}
 	if pick.state == nil {
@@ -365,11 +374,13 @@
 func (c *Chooser) costInput(now time.Duration, s *targetState, serviceTime time.Duration, averageUse float64) CostInput {
 	age := now - time.Duration(s.reportedAt.Load())
 	slots := s.slots()
+	others, spread := estimateOtherRequests(math.Float64frombits(s.otherRequests.Load()), age, averageUse, s.slotsOfOthers(slots))
 	return CostInput{
 		Distance:      c.regions.Distance(c.place, s.target.Place),
 		Slots:         slots,
 		OwnRequests:   int(s.ownRequests.Load()),
-		OtherRequests: estimateOtherRequests(math.Float64frombits(s.otherRequests.Load()), age, averageUse, s.slotsOfOthers(slots)),
+		OtherRequests: others,
+		Spread:        spread,
 		ServiceTime:   serviceTime,
 		Cold:          s.isCold(now),
 		LogOdds:       s.logOdds(now),
@@ -414,14 +425,14 @@
 		pick.state.otherRequests.Store(math.Float64bits(others))
 		pick.state.reportedAt.Store(int64(now))
 		pick.state.reportedSlots.Store(int32(min(math.MaxInt32, max(0, report.Load.Slots))))
-		c.updateAverages(pick, report, others)
+		c.updateAverages(now, pick, report, others)
 	}
 	return evidence
 }
 
 // updateAverages updates the service's averages. Concurrent calls may lose an
 // update, which does no harm.
-func (c *Chooser) updateAverages(pick Pick, report Report, others float64) {
+func (c *Chooser) updateAverages(now time.Duration, pick Pick, report Report, others float64) {
 	s := c.table.Load().services[pick.Target.Service]
 	if s == nil {
 		return
@@ -429,6 +440,7 @@
 	averageUse := math.Float64frombits(s.averageUse.Load())
 	if slots := pick.state.slotsOfOthers(max(1, pick.state.slots())); slots > 0 {
 		s.averageUse.Store(math.Float64bits(averageUse + averageUseWeight*(others/float64(slots)-averageUse)))
+		pick.state.use.add(now, others/float64(slots))
 	}
 	if report.Took <= 0 || report.Verdict != ferry.VerdictGood {
 		return
--- a/place/cost.go
+++ b/place/cost.go
@@ -48,6 +48,8 @@
 	OwnRequests int
 	// OtherRequests is the estimated number of other VMs' requests on the target.
 	OtherRequests float64
+	// Spread is the part of OtherRequests that is an average, not a report.
+	Spread float64
 	// ServiceTime is the average service time of a request, or zero without one.
 	ServiceTime time.Duration
 	Cold        bool
@@ -128,8 +130,10 @@
 }
 
 // estimateOtherRequests estimates the other VMs' requests on a target from a
-// report of the given age and the average fraction of slots that they use.
-func estimateOtherRequests(reported float64, age time.Duration, averageUse float64, slots int) float64 {
+// report of the given age and the average fraction of slots that they use. average is the
+// part that the average contributes.
+func estimateOtherRequests(reported float64, age time.Duration, averageUse float64, slots int) (requests, average float64) {
 	weight := math.Exp(-age.Seconds() / reportDecay.Seconds())
-	return weight*reported + (1-weight)*averageUse*float64(slots)
+	average = (1 - weight) * averageUse * float64(slots)
+	return weight*reported + average, average
 }
--- a/place/slots.go
+++ b/place/slots.go
@@ -3,11 +3,9 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"math"
 	"net/netip"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,14 +59,11 @@
 	Owned, Moved int
 }
 
-// slotPreference holds the state of the deals. The zero slotPreference prefers nothing.
-type slotPreference struct {
-	// factorBits are the bits of a float64: the extra cost of a slot that this VM does
-	// not own, as a fraction of the service time. Zero stops the deals.
-	factorBits atomic.Uint64
-	self       netip.AddrPort
-	vms        []netip.AddrPort
-	isDue      bool
+// slotState holds the state of the deals. The zero slotState has no VM.
+type slotState struct {
+	self  netip.AddrPort
+	vms   []netip.AddrPort
+	isDue bool
 	// nextDealAt is the earliest time of the next deal.
 	nextDealAt time.Duration
 	// warmAt is the time at which the next cold target takes part.
@@ -76,18 +71,9 @@
 	last   SlotDeal
 }
 
-func (p *slotPreference) factor() float64 { return math.Float64frombits(p.factorBits.Load()) }
-
-// SetSlotPreference sets the extra cost of a slot that this VM doesn't own, as a fraction
-// of the service time. With zero, the default, no slots are dealt. Like SetPeers and
-// DealSlots it must be called from the goroutine that calls Update.
-func (c *Chooser) SetSlotPreference(factor float64) {
-	c.slots.factorBits.Store(math.Float64bits(max(0, factor)))
-	c.slots.isDue = true
-}
-
 // SetPeers sets the VMs of this VM's place that serve callers, by the address that
-// identifies them, in any order. A VM that is not among them owns nothing.
+// identifies them, in any order. A VM that is not among them owns nothing. SetPeers and
+// DealSlots must be called from the goroutine that calls Update.
 func (c *Chooser) SetPeers(self netip.AddrPort, vms []netip.AddrPort) {
 	sorted := slices.SortedFunc(slices.Values(vms), netip.AddrPort.Compare)
 	if self == c.slots.self && slices.Equal(sorted, c.slots.vms) {
@@ -106,7 +92,8 @@
 func (c *Chooser) DealSlots(now time.Duration) (deal SlotDeal, ok bool) {
 	p := &c.slots
 	isWarm := p.warmAt != 0 && now >= p.warmAt
-	isOff := p.factor() == 0 && p.last.Owned == 0
+	preference := c.even.Load().SlotPreference
+	isOff := preference == 0 && p.last.Owned == 0
 	if isOff || !p.isDue && !isWarm || now < p.nextDealAt {
 		return p.last, false
 	}
@@ -127,7 +114,7 @@
 		}
 		deal.Targets += len(dealt)
 		var owned []int
-		if isMember && p.factor() > 0 {
+		if isMember && preference > 0 {
 			owned = dealTargets(xxhash.Sum64String(string(id)), slots, vms, self)
 		}
 		next := make(map[*targetState]int32, len(owned))
@@ -236,27 +223,17 @@
 
 // slotKind tells whose slot a request would use. An owned slot of a target that is cold,
 // not taken for healthy or filled by other VMs is no reason to go there.
-func (c *Chooser) slotKind(s *targetState, input CostInput) SlotKind {
+func slotKind(s *targetState, input *CostInput) SlotKind {
 	switch {
 	case input.Distance != ferry.SamePlace:
 		return SlotOtherPlace
-	case input.OwnRequests < int(s.ownedSlots.Load()) && input.LogOdds <= healthyLogOdds && !input.Cold && Wait(input) == 0:
+	case input.OwnRequests < int(s.ownedSlots.Load()) && input.LogOdds <= healthyLogOdds && !input.Cold && Wait(*input) == 0:
 		return SlotOwned
 	default:
 		return SlotShared
 	}
 }
 
-// slotCost returns what a request on a slot that this VM doesn't own costs more. It is the
-// same for all other slots, so that the distance and the load decide between them.
-func (c *Chooser) slotCost(s *targetState, input CostInput) time.Duration {
-	factor := c.slots.factor()
-	if factor == 0 || c.slotKind(s, input) == SlotOwned {
-		return 0
-	}
-	return time.Duration(float64(input.serviceTime()) * factor)
-}
-
 // slotsOfOthers returns the slots on which the other VMs' average use is expected.
 func (s *targetState) slotsOfOthers(slots int) int {
 	return max(0, slots-int(s.ownedSlots.Load()))
--- a/place/slots_test.go
+++ b/place/slots_test.go
@@ -28,7 +28,7 @@
 	for i := range choosers {
 		choosers[i] = NewChooser("a1", regions)
 		choosers[i].SetSeed(uint64(i))
-		choosers[i].SetSlotPreference(0.2)
+		choosers[i].SetEvenLoad(EvenLoad{SlotPreference: 0.2})
 		choosers[i].SetPeers(peers(vms)[i], peers(vms))
 		choosers[i].Update(0, list)
 		choosers[i].DealSlots(0)
@@ -221,7 +221,7 @@
 	c.SetPeers(peers(3)[1], peers(2))
 	c.DealSlots(5 * time.Second)
 	is.Equal(c.OwnedSlots().Owned, 4)
-	c.SetSlotPreference(0)
+	c.SetEvenLoad(EvenLoad{})
 	c.DealSlots(6 * time.Second)
 	is.Equal(c.OwnedSlots().Owned, 0)
 	c.Update(0, list[:1])
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -70,6 +70,7 @@
 		maxIdle = time.Hour
 	}
 	connection, err := f.pool.get(ctx, a.sentAt, pick.Target, maxIdle)
+	f.chooser.SetIdleUntil(pick, f.pool.idleUntil(pick.Target))
 	if err != nil {
 		a.err = err
 		if ctx.Err() != nil {
@@ -354,12 +355,13 @@
 		connection.idleTimeout = max(0, timeout-idleMargin)
 	}
 	isReusable := isUsable && !response.Close && !isUnframed(response) && !metadata.Leaving
-	target := a.pick.Target
+	pick := a.pick
 	a.response = &targetResponse{
 		status: response.StatusCode, header: response.Header, metadata: metadata, buffered: buffered, rest: rest,
 		release: func(isComplete bool) {
 			if isComplete && isReusable && connection.reader.Buffered() == 0 && connection.SetReadDeadline(time.Time{}) == nil {
-				f.pool.put(monotonicTime(f.clock), target, connection)
+				f.pool.put(monotonicTime(f.clock), pick.Target, connection)
+				f.chooser.SetIdleUntil(pick, f.pool.idleUntil(pick.Target))
 				return
 			}
 			discard(connection)
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -62,6 +62,19 @@
 	p.idle[key] = append(p.idle[key], c)
 }
 
+// idleUntil returns until when the connection to a target that was used last may be idle,
+// or zero if there is none.
+func (p *Pool) idleUntil(target *ferry.Target) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[target.Process()]
+	if len(list) == 0 {
+		return 0
+	}
+	c := list[len(list)-1]
+	return c.idleSince + c.idleTimeout
+}
+
 // Close closes the idle connections to a target.
 func (p *Pool) Close(target *ferry.Target) {
 	key := target.Process()
