--- a/place/doc.go
+++ b/place/doc.go
@@ -34,6 +34,11 @@
 // Whether a target is cold is what its newest entry states, counted from the arrival of
 // that entry, or assumed after an evacuation.
 //
+// Settings (EvenLoad) let the VMs of a place even the load of its targets: each VM owns a
+// part of the slots, computed alike by all of them, and uses it first; a target without a
+// recent report counts with the average use of its place; a new connection costs
+// something. See docs/design/even-load.md.
+//
 // # Usage
 //
 //	chooser.Update(now, targets)
