docs: even load, played: the table of 36, 107 and 293 VMs

Change: the benchmark has a part for each size and load, since go test shows ten lines of each; the table and what it says, also what is missed.

--- a/place/slots_play_test.go
+++ b/place/slots_play_test.go
@@ -420,21 +420,29 @@
 	{name: "exact knowledge", isExact: true},
 }
 
-// BenchmarkEvenLoad prints the table of docs/MEASURES.md.
+// BenchmarkEvenLoad logs the table of docs/MEASURES.md.
 func BenchmarkEvenLoad(b *testing.B) {
-	for b.Loop() {
-		for _, size := range []struct{ vms, targets int }{{36, 48}, {107, 180}, {293, 492}} {
-			for _, load := range []float64{0.3, 0.65, 0.8} {
-				for _, isChanging := range []bool{false, true} {
-					for i, way := range playWays {
-						if size.vms != 107 && (i == 1 || i == 2) {
-							continue // each setting alone at one size only
-						}
-						r := playFleet(playOptions{vms: size.vms, targets: size.targets, load: load, even: way.even, isExact: way.isExact, isChanging: isChanging, length: playLength, seed: 1})
-						b.Logf("| %d | %.2f | %v | %s | %v |", size.vms, load, isChanging, way.name, r)
-					}
+	for _, size := range []struct{ vms, targets int }{{36, 48}, {107, 180}, {293, 492}} {
+		for _, load := range []float64{0.3, 0.65, 0.8} {
+			b.Run(fmt.Sprintf("vms=%d/load=%v", size.vms, load), func(b *testing.B) {
+				for b.Loop() {
+					playAllWays(b, playOptions{vms: size.vms, targets: size.targets, load: load, length: playLength, seed: 1})
 				}
+			})
+		}
+	}
+}
+
+// playAllWays logs the plays of all ways, without and with VMs and targets that leave.
+func playAllWays(b *testing.B, options playOptions) {
+	b.Helper()
+	for _, isChanging := range []bool{false, true} {
+		for i, way := range playWays {
+			if options.vms != 107 && (i == 1 || i == 2) {
+				continue // each setting alone at one size only
 			}
+			options.isChanging, options.even, options.isExact = isChanging, way.even, way.isExact
+			b.Logf("| %d | %.2f | %v | %s | %v |", options.vms, options.load, isChanging, way.name, playFleet(options))
 		}
 	}
 }
