grant: an issuer that has just started refuses nothing for 1.2 s

Cause: after a loss of power of all VMs the new fleet leader has empty buckets and the shares of its followers arrive within 0.7 s. Change: for 1.2 s after a Reset, what can't be granted is Unavailable: waiters ask again each 100 ms and are granted as tokens accrue, or refused when the issuer has settled. Grants are as before, so the sum is. A reply may be Unavailable and hold tokens.

--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -442,3 +442,43 @@
 		})
 	}
 }
+
+// After a loss of power the issuer has empty buckets, and the shares of its followers
+// arrive one after the other. Requests within the rate of their account that come in
+// the first second wait and are granted as tokens accrue; one far beyond it is refused
+// when the issuer has settled.
+func TestSettlingIssuerRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	account := &ferry.Account{ID: "a", Rate: 40, Burst: 40}
+	issuer, cache := Issuer{}, TokenCache{Account: "a"}
+	issuer.Reset(time.Minute)
+	var waiters []*Waiter
+	refused, granted := 0, 0
+	for tick := range 60 { // 3 s in steps of 50 ms, with one request each: half of the rate
+		now := time.Minute + time.Duration(tick)*50*time.Millisecond
+		share := min(1, 0.02+float64(tick)/10)
+		if waiter := cache.Take(now); waiter != nil {
+			waiters = append(waiters, waiter)
+		} else {
+			granted++
+		}
+		if request, isDue := cache.NextRequest(now, uint64(tick+1)); isDue {
+			cache.HandleReply(now, issuer.Grant(now, request, account, share))
+		}
+	}
+	for _, waiter := range waiters {
+		select {
+		case result := <-waiter.Result:
+			if result.Granted {
+				granted++
+			} else {
+				refused++
+			}
+		default:
+		}
+	}
+	is.Equal(refused, 0)
+	is.True(granted >= 58) // all but the last
+	reply := issuer.Grant(time.Minute+3*time.Second, TokenRequest{Account: "a", Waiting: 500}, account, 1)
+	is.True(!reply.Unavailable && reply.RetryAfter > 0)
+}
--- a/grant/issuer.go
+++ b/grant/issuer.go
@@ -15,6 +15,9 @@
 	prefetchReserve = 0.6
 	// maxRetryAfter bounds the RetryAfter of refused requests.
 	maxRetryAfter = 2 * time.Second
+	// settleTime is the time after a Reset in which an Issuer refuses nothing: its
+	// buckets are empty, and the leases of its followers arrive.
+	settleTime = 1200 * time.Millisecond
 	// refusedDecay is the time after which refused requests that were not retried
 	// are no longer expected.
 	refusedDecay = time.Second
@@ -44,7 +47,8 @@
 	// RetryAfter is the time until the next token when Count is less than the
 	// number of waiting client requests.
 	RetryAfter time.Duration
-	// Unavailable reports that the request reached no issuer with a share.
+	// Unavailable reports that the request reached no issuer with a share, or one that
+	// has just started. Requests that got no token may get one soon.
 	Unavailable bool
 	// Hops is that of the TokenRequest.
 	Hops int
@@ -71,6 +75,8 @@
 	buckets map[ferry.AccountID]*bucket
 	// startedAt is the time from which the buckets accrue.
 	startedAt time.Duration
+	// settlesAt is the time before which no request is refused.
+	settlesAt time.Duration
 }
 
 // Grant replies to a request. share is the part of the allowance that this VM
@@ -96,6 +102,10 @@
 	reply.Count = min(request.Waiting, int(b.tokens+advance))
 	reply.Count = max(0, reply.Count)
 	b.tokens -= float64(reply.Count)
+	if reply.Count < request.Waiting && now < i.settlesAt {
+		reply.Unavailable, reply.RetryAfter = true, b.nextToken(rate)
+		return reply
+	}
 	if reply.Count < request.Waiting {
 		reply.RetryAfter = b.refuse(now, request.Waiting-reply.Count, rate)
 		return reply
@@ -151,6 +161,11 @@
 	b.refilledAt = now
 }
 
+// nextToken returns the time until the next token accrues.
+func (b *bucket) nextToken(rate float64) time.Duration {
+	return min(maxRetryAfter, time.Duration(max(0, 1-b.tokens)/rate*float64(time.Second)))
+}
+
 // refuse counts refused requests and returns the time after which the first of
 // them may be retried: after the retries of those that were refused before.
 func (b *bucket) refuse(now time.Duration, count int, rate float64) time.Duration {
@@ -161,5 +176,8 @@
 	return min(maxRetryAfter, time.Duration(seconds*float64(time.Second)))
 }
 
-// Reset empties every bucket. The buckets accrue from now on.
-func (i *Issuer) Reset(now time.Duration) { i.buckets, i.startedAt = nil, now }
+// Reset empties every bucket. The buckets accrue from now on, and nothing is refused for
+// settleTime: requests that got no token ask again.
+func (i *Issuer) Reset(now time.Duration) {
+	i.buckets, i.startedAt, i.settlesAt = nil, now, now+settleTime
+}
--- a/grant/token_cache.go
+++ b/grant/token_cache.go
@@ -183,6 +183,7 @@
 	request, isPending := c.takePending(reply)
 	switch {
 	case reply.Unavailable:
+		c.resolve(reply.Count, WaitResult{Granted: true}, func(waiter *Waiter) bool { return waiter.sequence == reply.Sequence })
 		c.resetWaiters(reply.Sequence)
 		c.requestsBlockedUntil = now + unavailableBackoff
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -124,6 +124,7 @@
 		placeCaches:  map[ferry.AccountID]*grant.PlaceCache{},
 		recordCache:  recordCache{decoder: dependencies.Decoder, log: dependencies.Log},
 	}
+	n.issuer.Reset(dependencies.Clock.Now().Monotonic)
 	n.traffic = newTraffic(settings.Place, settings.Regions, n.metrics)
 	bounds := settings.Bounds
 	n.state.bounds.Store(&bounds)
