grant: an issuer settles for 2 s

Cause: 544 requests were still refused in the four seconds after the loss of power: what had waited when the 1.2 s were over.

--- a/grant/issuer.go
+++ b/grant/issuer.go
@@ -17,7 +17,7 @@
 	maxRetryAfter = 2 * time.Second
 	// settleTime is the time after a Reset in which an Issuer refuses nothing: its
 	// buckets are empty, and the leases of its followers arrive.
-	settleTime = 1200 * time.Millisecond
+	settleTime = 2 * time.Second
 	// refusedDecay is the time after which refused requests that were not retried
 	// are no longer expected.
 	refusedDecay = time.Second
