--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -433,11 +433,16 @@
 	is := is.New(t)
 	target := startTarget(t, "a", respondOK)
 	h := newHarness(t, target)
-	h.limiter.Store(&slowLimiter{wait: 300 * time.Millisecond})
+	h.limiter.Store(&slowLimiter{wait: 3 * time.Second})
 	ctx, cancel := context.WithTimeout(t.Context(), 80*time.Millisecond)
 	defer cancel()
 	is.True(h.call(ctx, http.MethodPost, "/keyed/x", "body", testKeyHeader, "secret").err != nil)
-	time.Sleep(500 * time.Millisecond)
+	// A request that goes on in spite of it ends after the limiter's wait.
+	for deadline := time.Now().Add(4 * time.Second); h.server.InFlight() > 0 && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(int(h.server.InFlight()), 0)
 	is.Equal(int(target.requests.Load()), 0)
+	h.limiter.Store(&slowLimiter{wait: 300 * time.Millisecond})
 	is.Equal(h.call(t.Context(), http.MethodPost, "/keyed/x", "body", testKeyHeader, "secret").status, http.StatusOK)
 }
