--- /dev/null
+++ b/crowd/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package crowd
+
+const isRace = false
