drain: bounds for callers' connections and headers; writes fail without progress

Change: Bounds. At the bound of connections a new one takes the place of one that lingers after its last response, waits for a request, sends a header, or has a body or a response without progress for 2 s, in this order, of an address that holds more than half first; fresh ones last; never one whose request is at a target. Beyond the bound of header bytes the longest incomplete header loses. A write to a caller fails after 30 s without a byte of progress. Closing a connection at once, without lingering, is only for these.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -36,20 +37,34 @@
 	started    time.Time
 	isStopping atomic.Bool
 
-	mu   sync.Mutex
-	open map[*connection]struct{}
+	// headerBytes is what has been read of the headers that are not complete.
+	headerBytes atomic.Int64
+
+	mu     sync.Mutex
+	bounds Bounds
+	open   map[*connection]struct{}
+	// lingering holds the connections that are closed once their callers have read the
+	// last response.
+	lingering map[*connection]struct{}
+	addresses map[netip.Addr]int
+	evicted   map[string]uint64
 }
 
 // NewListener returns a Listener that accepts the connections of listener. Its
 // SetState has to be the ConnState of the server.
 func NewListener(listener *net.TCPListener) *Listener {
-	return &Listener{TCPListener: listener, started: time.Now(), open: map[*connection]struct{}{}}
+	return &Listener{
+		TCPListener: listener, started: time.Now(), open: map[*connection]struct{}{},
+		lingering: map[*connection]struct{}{}, addresses: map[netip.Addr]int{}, evicted: map[string]uint64{},
+	}
 }
 
 // connection is a connection of a caller.
 type connection struct {
 	*net.TCPConn
-	started time.Time
+	listener *Listener
+	address  netip.Addr
+	started  time.Time
 	// waitsSince is when the connection began to wait for a request, partAt when the
 	// first bytes of one were read after that, and readAt when the last bytes were
 	// read, as times since started.
@@ -58,6 +73,13 @@
 	isActive atomic.Bool
 	// isClosed reports that Close was called.
 	isClosed atomic.Bool
+	// isReceiving reports that the body of a request is read that no target has got.
+	isReceiving atomic.Bool
+	// writesSince is when a write in progress began or last made progress, as time since
+	// started, or zero.
+	writesSince atomic.Int64
+	// headerBytes is what has been read of a header that is not complete.
+	headerBytes atomic.Int64
 	// isExpired reports that CloseQuiet has ended the wait for a request.
 	isExpired atomic.Bool
 }
@@ -77,6 +99,9 @@
 				c.partAt.Store(now)
 			}
 			c.readAt.Store(now)
+			if !c.isActive.Load() {
+				c.listener.countHeader(c, int64(n))
+			}
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isExpired.Load() || !c.hasPart() {
@@ -100,10 +125,12 @@
 	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return c.TCPConn.Close()
 	}
+	c.listener.linger(c)
 	go func() {
 		// Whatever ends it, the connection is closed.
 		_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes)
 		_ = c.TCPConn.Close()
+		c.listener.endLinger(c)
 	}()
 	return nil
 }
@@ -124,7 +151,9 @@
 		accepted, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			return l.track(accepted), nil
+			if c := l.track(accepted); c != nil {
+				return c, nil
+			}
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		case isStopping:
@@ -136,13 +165,21 @@
 	}
 }
 
-// track keeps a new connection until SetState reports its end.
+// track keeps a new connection until SetState reports its end. It returns nil when the
+// connection was closed for want of room.
 func (l *Listener) track(accepted *net.TCPConn) *connection {
-	c := &connection{TCPConn: accepted, started: l.started}
-	c.waitsSince.Store(int64(time.Since(l.started)))
+	c := &connection{TCPConn: accepted, listener: l, address: addressOf(accepted), started: l.started}
+	now := time.Since(l.started)
+	c.waitsSince.Store(int64(now))
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.makeRoom(now) {
+		l.evicted[evictedNew]++
+		_ = accepted.Close()
+		return nil
+	}
 	l.open[c] = struct{}{}
+	l.addresses[c.address]++
 	return c
 }
 
@@ -156,10 +193,12 @@
 		c.waitsSince.Store(int64(time.Since(l.started)))
 	}
 	c.isActive.Store(state == http.StateActive)
+	// Whatever was read of a header is complete, or given up.
+	l.headerBytes.Add(-c.headerBytes.Swap(0))
 	if state == http.StateClosed || state == http.StateHijacked {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		delete(l.open, c)
+		l.forget(c)
 	}
 }
 
