relay: bodies and responses within a budget, refusals that wait for no caller

Change: BodyFilter takes what it buffers from a budget, in steps of 16 KB, 64 KB, 256 KB and 1 MB as bytes arrive; beyond 64 KB only from the first half of the budget, else the rest is streamed. A new body waits for room up to 200 ms, while a body without a byte for 2 s is ended (408, or 502 once a target has got a part), and is then refused with a true 503. Responses buffer 16 KB instead of 256 KB when the budget is half used. The deadline of the request bounds the reading of the beginning (408). Refusals end the reading at once, or after 500 ms. 413 also for streamed chunks. Connections to targets are counted with the idle ones; beyond the bound idle ones close, then attempts aren't sent.

Changed tests: TestLongBodyPastDeadline made its 3 MB body after the head had been sent; under the race detector that took longer than the deadline of 1.5 s, and such a caller now gets 408. The body is made before. The harness takes the body filter through itself so that tests can set a budget.

--- a/exchange.go
+++ b/exchange.go
@@ -62,13 +62,17 @@
 
 // Reasons of refusals.
 const (
-	ReasonNoRoute          Reason = "NoRoute"
-	ReasonNoKey            Reason = "NoKey"
-	ReasonUnknownKey       Reason = "UnknownKey"
-	ReasonAmbiguousKey     Reason = "AmbiguousKey"
-	ReasonKeyInPath        Reason = "KeyInPath"
-	ReasonHeaderTooLarge   Reason = "HeaderTooLarge"
-	ReasonBodyTooLarge     Reason = "BodyTooLarge"
+	ReasonNoRoute        Reason = "NoRoute"
+	ReasonNoKey          Reason = "NoKey"
+	ReasonUnknownKey     Reason = "UnknownKey"
+	ReasonAmbiguousKey   Reason = "AmbiguousKey"
+	ReasonKeyInPath      Reason = "KeyInPath"
+	ReasonHeaderTooLarge Reason = "HeaderTooLarge"
+	ReasonBodyTooLarge   Reason = "BodyTooLarge"
+	// ReasonSlowBody means that the body did not come in time, and ReasonBodyBudget
+	// that the bodies of all callers left no room for it.
+	ReasonSlowBody         Reason = "SlowBody"
+	ReasonBodyBudget       Reason = "BodyBudget"
 	ReasonUpgrade          Reason = "UpgradeNotSupported"
 	ReasonOverAllowance    Reason = "OverAllowance"
 	ReasonAllowanceUnknown Reason = "AllowanceUnknown"
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/flight"
 	"monsoonferry.org/ferry/place"
 )
 
@@ -29,6 +30,9 @@
 // connection to it was opened.
 var errTargetClosed = errors.New("the target stopped taking requests of this VM")
 
+// errNoConnection reports that the VM has no connection left for the request.
+var errNoConnection = errors.New("the connections to targets have used up their budget")
+
 // hopByHop lists the header fields that are valid for one connection only,
 // following RFC 9110 section 7.6.1, and those that the package handles itself.
 var hopByHop = map[string]bool{
@@ -69,14 +73,27 @@
 	if isRetryable {
 		maxIdle = time.Hour
 	}
+	// The buffers are in use as long as the attempt, also when the caller has left.
+	if body.hold.Retain() {
+		defer body.hold.Release()
+	}
+	slot := f.pool.Connections.Open(ownerOf(exchange))
+	if !slot.Take(1) {
+		// Bodies that stall while they are streamed hold connections too.
+		body.hold.EndStalled(a.sentAt, stallTime)
+		a.err, a.verdict = errNoConnection, ferry.VerdictNone
+		return a
+	}
 	connection, err := f.pool.get(ctx, a.sentAt, pick.Target, maxIdle)
 	if err != nil {
+		slot.Release()
 		a.err = err
 		if ctx.Err() != nil {
 			a.verdict = ferry.VerdictNone
 		}
 		return a
 	}
+	connection.slot = slot
 	if !f.chooser.MaySend(monotonicTime(f.clock), pick) {
 		a.err, a.verdict = errTargetClosed, ferry.VerdictNone
 		discard(connection)
@@ -123,7 +140,7 @@
 func (f *Forwarder) roundTrip(exchange *ferry.Exchange, body *payload, connection *conn, a *attempt) {
 	head := f.requestHead(exchange, body, a.pick.Target)
 	a.outcome, a.verdict = ferry.OutcomeUnknown, ferry.VerdictReset
-	if len(body.buffered) <= chunkSize {
+	if len(body.buffered) <= chunkSize && (body.rest == nil || body.length >= 0) {
 		head = append(head, body.buffered...)
 	}
 	written, err := connection.Write(head)
@@ -146,7 +163,7 @@
 		body.rest.start()
 		go func() { sending <- f.writeRest(connection, body) }()
 	}
-	f.readResponse(exchange, connection, a)
+	f.readResponse(exchange, body.hold, connection, a)
 	if a.response != nil && (err != nil || !isSent(sending)) {
 		// The target would read the next request as the rest of the body.
 		release := a.response.release
@@ -274,7 +291,7 @@
 }
 
 // readResponse reads responses until it finds the response to this request.
-func (f *Forwarder) readResponse(exchange *ferry.Exchange, connection *conn, a *attempt) {
+func (f *Forwarder) readResponse(exchange *ferry.Exchange, hold *flight.Hold, connection *conn, a *attempt) {
 	for range maxStrayResponses + 1 {
 		// The body is read here or closed with the connection.
 		connection.limit.begin(maxHeadBytes)
@@ -307,7 +324,7 @@
 			a.verdict = ferry.VerdictCutBody
 			return
 		}
-		f.acceptResponse(response, metadata, connection, a)
+		f.acceptResponse(response, metadata, hold, connection, a)
 		return
 	}
 	a.setError(errors.New("target sent too many responses to other requests"))
@@ -332,13 +349,13 @@
 }
 
 // acceptResponse reads the beginning of the body and sets a.response.
-func (f *Forwarder) acceptResponse(response *http.Response, metadata ferry.ResponseMetadata, connection *conn, a *attempt) {
+func (f *Forwarder) acceptResponse(response *http.Response, metadata ferry.ResponseMetadata, hold *flight.Hold, connection *conn, a *attempt) {
 	body, isUsable := response.Body, isUsable(response.StatusCode, metadata)
 	if !isUsable {
 		// The caller does not get it, so its body is not read either.
 		body, response.ContentLength = http.NoBody, 0
 	}
-	buffered, rest, err := bufferBody(body, response.ContentLength)
+	buffered, rest, err := bufferBody(body, response.ContentLength, hold)
 	if err != nil {
 		a.setError(err)
 		a.verdict = ferry.VerdictCutBody
@@ -367,18 +384,26 @@
 	}
 }
 
-// bufferBody reads a body up to maxBufferedResponse. rest is nil at its end.
-func bufferBody(body io.Reader, length int64) (buffered []byte, rest io.Reader, err error) {
+// bufferBody reads the beginning of a body, up to maxBufferedResponse bytes, or
+// firstBuffer while little is left of the budget. rest is nil at its end.
+func bufferBody(body io.Reader, length int64, hold *flight.Hold) (buffered []byte, rest io.Reader, err error) {
 	if length == 0 {
 		return nil, nil, nil
 	}
-	if length > 0 && length <= maxBufferedResponse {
+	size := int64(maxBufferedResponse)
+	if length > 0 {
+		size = min(size, length)
+	}
+	if size > firstBuffer && !hold.TakeSpare(size) {
+		size = firstBuffer
+	}
+	if length > 0 && length <= size {
 		buffered = make([]byte, length)
 		_, err = io.ReadFull(body, buffered)
 		return buffered, nil, err
 	}
 	var buffer bytes.Buffer
-	_, err = io.CopyN(&buffer, body, maxBufferedResponse)
+	_, err = io.CopyN(&buffer, body, size)
 	if errors.Is(err, io.EOF) {
 		return buffer.Bytes(), nil, nil
 	}
--- a/relay/body.go
+++ b/relay/body.go
@@ -9,12 +9,19 @@
 	"time"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/flight"
 )
 
 const (
 	// maxBufferedRequest bounds the part of a request body that is buffered so
 	// that it can be sent again, in bytes.
 	maxBufferedRequest = 1 << 20
+	// firstBuffer is the first part of a body that is read, and minBuffered what is
+	// buffered of a longer one even if little is left of the budget, in bytes.
+	firstBuffer = 16 << 10
+	minBuffered = 64 << 10
+	// growth is the factor by which a buffer grows.
+	growth = 4
 	// maxBufferedResponse bounds the part of a response's body that is read before
 	// the caller gets the first byte, in bytes.
 	maxBufferedResponse = 256 << 10
@@ -30,35 +37,45 @@
 	rest *bodyRest
 	// length is the length of the whole body in bytes, or -1 when it is not known.
 	length int64
+	// hold accounts for the buffers of the request and its responses.
+	hold *flight.Hold
 }
 
 // isReplayable reports whether the body can be sent more than once.
 func (p *payload) isReplayable() bool { return p.rest == nil }
 
-// readPayload buffers the beginning of a request body. A body of more than
-// limit bytes is refused; a limit of zero means no limit.
-func readPayload(request *http.Request, limit int64) (*payload, error) {
+// hasBody reports whether a request has a body.
+func hasBody(request *http.Request) bool {
+	return request.Body != nil && request.Body != http.NoBody && request.ContentLength != 0
+}
+
+// readPayload buffers the beginning of a request body. A body of more than limit bytes
+// is refused; a limit of zero means no limit. take is called before bytes are buffered,
+// with the size of the buffer before and after; where it fails, the rest is streamed.
+func readPayload(request *http.Request, body io.Reader, limit int64, take func(from, to int64) error) (*payload, error) {
 	if limit > 0 && request.ContentLength > limit {
 		return nil, bodyTooLarge()
 	}
-	if request.Body == nil || request.Body == http.NoBody || request.ContentLength == 0 {
+	if !hasBody(request) {
 		return &payload{}, nil
 	}
-	body := io.Reader(request.Body)
 	if limit > 0 {
 		body = &limitedBody{source: body, left: limit}
 	}
-	size := int64(chunkSize)
-	if request.ContentLength > 0 {
-		size = min(request.ContentLength, maxBufferedRequest)
-	}
-	buffered := make([]byte, 0, size)
-	for len(buffered) < maxBufferedRequest {
+	var buffered []byte
+	for {
 		if len(buffered) == cap(buffered) {
-			if request.ContentLength >= 0 && int64(len(buffered)) >= request.ContentLength {
+			size := nextBuffer(int64(len(buffered)), request.ContentLength)
+			if size == int64(len(buffered)) {
 				break
 			}
-			buffered = append(buffered, make([]byte, chunkSize)...)[:len(buffered)]
+			if err := take(int64(len(buffered)), size); err != nil {
+				if len(buffered) > 0 {
+					break
+				}
+				return nil, err
+			}
+			buffered = append(make([]byte, 0, size), buffered...)
 		}
 		n, err := body.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
@@ -75,6 +92,16 @@
 	return &payload{buffered: buffered, rest: &bodyRest{source: body}, length: request.ContentLength}, nil
 }
 
+// nextBuffer returns the size of the buffer that follows a full one of the given size,
+// for a body of a length, or -1 if that is not known.
+func nextBuffer(size, length int64) int64 {
+	next := min(max(size*growth, firstBuffer), maxBufferedRequest)
+	if length >= 0 {
+		next = min(next, length)
+	}
+	return next
+}
+
 // beginResponse is called before a response to the caller begins. If an attempt is
 // still reading the body, package http must not read it as well: it would discard up
 // to 256 KB of it. The connection of the caller can't be kept then.
@@ -158,6 +185,19 @@
 	}
 }
 
+// tooLarge returns the refusal of a body that exceeded its limit while it was streamed,
+// or nil.
+func (r *bodyRest) tooLarge() *ferry.RefusalError {
+	// A read in progress has not failed.
+	if r == nil || !r.mu.TryLock() {
+		return nil
+	}
+	defer r.mu.Unlock()
+	var refusal *ferry.RefusalError
+	errors.As(r.err, &refusal)
+	return refusal
+}
+
 // limitedBody fails with a refusal once more bytes than its limit were read.
 type limitedBody struct {
 	source io.Reader
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"monsoonferry.org/ferry/drain"
+	"monsoonferry.org/ferry/flight"
 )
 
 const (
@@ -52,6 +53,8 @@
 	// idleTimeout is how long the connection may be idle.
 	idleTimeout time.Duration
 	isReused    bool
+	// slot accounts for the connection while it carries a request.
+	slot *flight.Hold
 }
 
 // dial opens a connection to a target.
--- a/relay/early_test.go
+++ b/relay/early_test.go
@@ -228,8 +228,10 @@
 			const size = 3 << 20
 			target := startTarget(t, "a", respondOK)
 			h := newHarness(t, target)
+			// The caller sends what is buffered well before its deadline.
+			body := numberedBody(size)
 			caller := h.startUpload(t, size, isChunked, testDeadline+": 1500")
-			is.NoErr(caller.send(numberedBody(size)[:maxBufferedRequest+2*chunkSize]))
+			is.NoErr(caller.send(body[:maxBufferedRequest+2*chunkSize]))
 			is.NoErr(caller.SetReadDeadline(time.Now().Add(3 * time.Second)))
 			reader := bufio.NewReader(caller)
 			got, err := http.ReadResponse(reader, nil)
--- a/relay/filter.go
+++ b/relay/filter.go
@@ -110,31 +110,6 @@
 	return &ferry.RefusalError{Status: status, Reason: reason, Outcome: ferry.OutcomeNotRun, Detail: detail}
 }
 
-// payloadKey is the context key of a request's payload.
-type payloadKey struct{}
-
-// BodyFilter reads the beginning of the body before the request waits for
-// anything. Package http detects that a caller has disconnected only after the
-// body was read.
-type BodyFilter struct{}
-
-// Filter implements ferry.Filter.
-func (BodyFilter) Filter(ctx context.Context, exchange *ferry.Exchange, next ferry.Handler) error {
-	body, err := readPayload(exchange.Request, exchange.Route.BodyLimit)
-	if err != nil {
-		return err
-	}
-	return next.Handle(context.WithValue(ctx, payloadKey{}, body), exchange)
-}
-
-// requestPayload returns the payload that BodyFilter read, or reads it.
-func requestPayload(ctx context.Context, exchange *ferry.Exchange) (*payload, error) {
-	if body, ok := ctx.Value(payloadKey{}).(*payload); ok {
-		return body, nil
-	}
-	return readPayload(exchange.Request, exchange.Route.BodyLimit)
-}
-
 // AllowanceFilter takes a token from the allowance of the client account.
 type AllowanceFilter struct{ Limiter ferry.Limiter }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -162,6 +162,10 @@
 	sendCtx, r.cancel = context.WithTimeout(sendBase, remaining)
 	f.budgets.Deposit(r.service)
 	err = f.sendAttempts(ctx, sendCtx, r)
+	if tooLarge := body.rest.tooLarge(); tooLarge != nil && exchange.Status == 0 && !errors.Is(err, context.Canceled) {
+		// A target has got a part of the body.
+		tooLarge.Outcome, err = ferry.OutcomeUnknown, tooLarge
+	}
 	if r.isIdempotent || r.inFlight == 0 || !errors.Is(err, context.Canceled) {
 		r.cancel()
 	}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -22,6 +22,7 @@
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/drain"
+	"monsoonferry.org/ferry/flight"
 	"monsoonferry.org/ferry/place"
 )
 
@@ -198,6 +199,24 @@
 	targets    []*testTargetServer
 	limiter    atomic.Pointer[slowLimiter]
 	metrics    *metrics.Set
+	pool       *Pool
+	// bytes is the budget of bodies in flight; nil has no limit.
+	bytes atomic.Pointer[flight.Ledger]
+}
+
+// Filter implements ferry.Filter as a BodyFilter with the present budget.
+func (h *harness) Filter(ctx context.Context, exchange *ferry.Exchange, next ferry.Handler) error {
+	return BodyFilter{Bytes: h.bytes.Load()}.Filter(ctx, exchange, next)
+}
+
+// eventually waits until a condition is met.
+func (h *harness) eventually(t *testing.T, isMet func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !isMet(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("condition not met")
+		}
+	}
 }
 
 // Admit implements ferry.Limiter. Without a limiter it admits every request.
@@ -210,7 +229,7 @@
 
 func newHarness(t *testing.T, targets ...*testTargetServer) *harness {
 	t.Helper()
-	h := &harness{targets: targets, budgets: &RetryBudgets{}, guard: &testGuard{}}
+	h := &harness{targets: targets, budgets: &RetryBudgets{}, guard: &testGuard{}, pool: &Pool{}}
 	h.budgets.SetBounds(1, 100, 1)
 	h.chooser = place.NewChooser("here", ferry.Regions{"here": "region", "near": "region", "far": "other"})
 	list := make([]ferry.Target, 0, len(targets))
@@ -237,8 +256,8 @@
 	clock := ferry.NewSystemClock()
 	h.metrics = metrics.NewSet()
 	counters := NewMetrics(h.metrics)
-	forwarder := NewForwarder(clock, testDialect{}, h.chooser, h.budgets, &Pool{}, h.guard, testReporter{}, log, counters)
-	chain := ferry.Chain(forwarder, RouteFilter{Freshness: h.guard}, AccountFilter{Freshness: h.guard}, BodyFilter{}, AllowanceFilter{Limiter: h})
+	forwarder := NewForwarder(clock, testDialect{}, h.chooser, h.budgets, h.pool, h.guard, testReporter{}, log, counters)
+	chain := ferry.Chain(forwarder, RouteFilter{Freshness: h.guard}, AccountFilter{Freshness: h.guard}, h, AllowanceFilter{Limiter: h})
 	h.server = NewServer(chain, testSnapshots{view: conf.NewSnapshot(inventory)}, testDialect{}, clock, log, counters)
 	// As on a VM, the listener keeps a response from being lost when its connection closes.
 	h.httpServer = httptest.NewUnstartedServer(h.server)
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -6,13 +6,50 @@
 	"time"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/flight"
 )
 
 // Pool keeps idle connections to targets. The zero Pool is ready to use and
 // safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[ferry.TargetProcess][]*conn
+	// Connections accounts for the connections that carry a request. Together with the
+	// idle ones they are at most as many as its limit; the nil Ledger has none.
+	Connections *flight.Ledger
+
+	mu        sync.Mutex
+	idle      map[ferry.TargetProcess][]*conn
+	idleCount int
+}
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.idleCount
+}
+
+// isFull reports whether there are more connections than allowed.
+func (p *Pool) isFull() bool {
+	usage := p.Connections.Usage()
+	return usage.Limit > 0 && usage.Used+int64(p.idleCount) > usage.Limit
+}
+
+// makeRoom closes an idle connection if there are more connections than allowed.
+func (p *Pool) makeRoom() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isFull() {
+		return
+	}
+	for key, list := range p.idle {
+		if len(list) == 0 {
+			continue
+		}
+		discard(list[0])
+		p.idle[key] = list[1:]
+		p.idleCount--
+		return
+	}
 }
 
 // get returns a connection to the target that was idle for less than maxIdle,
@@ -22,6 +59,7 @@
 	for {
 		c := p.take(key)
 		if c == nil {
+			p.makeRoom()
 			return dial(ctx, target.Address)
 		}
 		idle := now - c.idleSince
@@ -43,6 +81,7 @@
 	}
 	c := list[len(list)-1]
 	p.idle[key] = list[:len(list)-1]
+	p.idleCount--
 	return c
 }
 
@@ -50,9 +89,11 @@
 func (p *Pool) put(now time.Duration, target *ferry.Target, c *conn) {
 	key := target.Process()
 	c.idleSince = now
+	c.slot.Release()
+	c.slot = nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[key]) >= maxIdlePerTarget {
+	if len(p.idle[key]) >= maxIdlePerTarget || p.isFull() {
 		discard(c)
 		return
 	}
@@ -60,6 +101,7 @@
 		p.idle = map[ferry.TargetProcess][]*conn{}
 	}
 	p.idle[key] = append(p.idle[key], c)
+	p.idleCount++
 }
 
 // Close closes the idle connections to a target.
@@ -70,6 +112,7 @@
 	for _, c := range p.idle[key] {
 		discard(c)
 	}
+	p.idleCount -= len(p.idle[key])
 	delete(p.idle, key)
 }
 
@@ -86,6 +129,7 @@
 				continue
 			}
 			discard(c)
+			p.idleCount--
 		}
 		if len(kept) == 0 {
 			delete(p.idle, key)
@@ -98,4 +142,5 @@
 // discard closes a connection that is not used again.
 func discard(c *conn) {
 	_ = c.Close()
+	c.slot.Release()
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -90,11 +90,33 @@
 	s.log.Info("refused", "request", exchange.ID, "route", route, "account", accountID(exchange), "status", refusal.Status,
 		"reason", refusal.Reason, "outcome", refusal.Outcome.String(), "retryAfter", refusal.RetryAfter,
 		"took", took, "version", snapshotVersion(exchange.Snapshot), "detail", refusal.Detail)
+	s.leaveBody(exchange, refusal)
 	s.dialect.WriteRefusal(exchange.Writer.Header(), exchange.ID, refusal)
 	exchange.Writer.Header()["Content-Length"] = []string{"0"}
 	exchange.Writer.WriteHeader(refusal.Status)
 }
 
+// leavesBody holds the reasons for which nothing more is read of a body.
+var leavesBody = map[ferry.Reason]bool{ferry.ReasonBodyTooLarge: true, ferry.ReasonSlowBody: true, ferry.ReasonBodyBudget: true}
+
+// leaveBody bounds the wait for what is left of the body of a refused request: package
+// http reads up to 256 KB of it before the response.
+func (s *Server) leaveBody(exchange *ferry.Exchange, refusal *ferry.RefusalError) {
+	if !hasBody(exchange.Request) || exchange.Writer.Header().Get("Connection") == "close" {
+		return
+	}
+	controller := http.NewResponseController(exchange.Writer)
+	deadline := time.Now().Add(unreadTimeout)
+	if leavesBody[refusal.Reason] {
+		exchange.Writer.Header().Set("Connection", "close")
+		if err := controller.EnableFullDuplex(); err == nil {
+			deadline = time.Unix(1, 0)
+		}
+	}
+	// Without support for deadlines, the response waits for bytes of the caller.
+	_ = controller.SetReadDeadline(deadline)
+}
+
 // accountID returns the ID of a request's client account, or an empty one.
 func accountID(exchange *ferry.Exchange) ferry.AccountID {
 	if exchange.Account == nil {
