node: budgets of bytes and connections from the VM's memory and descriptors

Change: bodies and responses in flight hold at most a quarter of the memory, incomplete headers a sixteenth; callers' connections are bounded by a quarter of the memory at 32 KB each and 45% of the sockets, connections to targets by 35%, each other port by 5%. The ports for readiness, directory, control and metrics get read, write and idle timeouts and 16 KB of header. Gauges, Budgets in /status, and at most one log line in 10 s with who holds most.

--- a/conf/node.go
+++ b/conf/node.go
@@ -30,6 +30,9 @@
 	Store netip.AddrPort
 	// MemoryLimit is the memory of the VM in bytes, or zero for no limit.
 	MemoryLimit int64
+	// DescriptorLimit is the number of descriptors that the process may open, with those
+	// that the machine reserves for files, or zero for the limit of the process.
+	DescriptorLimit int
 	// Millicores is the VM's computing power in 1/1000 of a core, or zero if unknown.
 	Millicores uint32
 	// IsFirst reports that the whole fleet starts for the first time.
--- a/node/loop.go
+++ b/node/loop.go
@@ -135,6 +135,7 @@
 	n.logViewSize()
 	n.logDivision(now)
 	n.traffic.log(now.Monotonic, n.log)
+	n.logBudgets(now.Monotonic)
 }
 
 // closeOverdueCallers closes the connections of callers that take longer than the
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/drain"
+	"monsoonferry.org/ferry/flight"
 	"monsoonferry.org/ferry/grant"
 	"monsoonferry.org/ferry/lead"
 	"monsoonferry.org/ferry/place"
@@ -79,6 +80,8 @@
 	events        chan any
 	droppedEvents atomic.Int64
 	metrics       *metrics.Set
+	limits        budgets
+	bodies        *flight.Ledger
 	traffic       *traffic
 
 	// The loop owns the fields below.
@@ -91,10 +94,13 @@
 	formerProof    ferry.Moment
 	hasFormerProof bool
 	sweptAt        time.Duration
-	reportedStatus lead.StatusChanged
-	isStale        bool
-	viewSize       int
-	division       lead.Division
+	// budgetsLoggedAt is when logBudgets last looked, budgetRefusals what it counted.
+	budgetsLoggedAt time.Duration
+	budgetRefusals  uint64
+	reportedStatus  lead.StatusChanged
+	isStale         bool
+	viewSize        int
+	division        lead.Division
 
 	// placeCaches holds the tokens for the VMs of the place that this VM leads.
 	placeCaches   map[ferry.AccountID]*grant.PlaceCache
@@ -123,6 +129,9 @@
 		placeCaches:  map[ferry.AccountID]*grant.PlaceCache{},
 		recordCache:  recordCache{decoder: dependencies.Decoder, log: dependencies.Log},
 	}
+	n.limits = newBudgets(settings.MemoryLimit, descriptorLimit(settings))
+	n.bodies = flight.NewLedger(n.limits.bodyBytes)
+	n.pool.Connections = flight.NewLedger(int64(n.limits.targetConnections))
 	n.traffic = newTraffic(settings.Place, settings.Regions, n.metrics)
 	bounds := settings.Bounds
 	n.state.bounds.Store(&bounds)
@@ -133,7 +142,7 @@
 	counters := relay.NewMetrics(n.metrics)
 	forwarder := relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
 	chain := ferry.Chain(forwarder,
-		relay.RouteFilter{Freshness: n.state}, relay.AccountFilter{Freshness: n.state}, relay.BodyFilter{}, relay.AllowanceFilter{Limiter: n.limiter})
+		relay.RouteFilter{Freshness: n.state}, relay.AccountFilter{Freshness: n.state}, relay.BodyFilter{Bytes: n.bodies}, relay.AllowanceFilter{Limiter: n.limiter})
 	n.server = relay.NewServer(chain, n.state, dependencies.Dialect, dependencies.Clock, dependencies.Log, counters)
 	self := lead.VM{
 		Peers: settings.Peers, Incarnation: uint64(time.Now().UnixNano()), Place: settings.Place,
@@ -179,30 +188,36 @@
 		return trace.ConvertSystemError(err)
 	}
 	n.listener = drain.NewListener(callers)
+	n.listener.SetBounds(drain.Bounds{Connections: n.limits.callers, HeaderBytes: n.limits.headerBytes})
+	n.registerBudgets(n.metrics)
+	n.log.Info("budgets", "bodyBytes", n.limits.bodyBytes, "headerBytes", n.limits.headerBytes, "callers", n.limits.callers,
+		"targets", n.limits.targetConnections, "ports", n.limits.ports)
 	n.callerServer = &http.Server{
-		ConnState: n.listener.SetState,
-		Handler:   n.server, ReadHeaderTimeout: maxHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: n.listener.SetState, ConnContext: n.listener.Context,
+		Handler: n.server, ReadHeaderTimeout: maxHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
-	servers := map[netip.AddrPort]*http.Server{
-		settings.Ready:     {Handler: n.dependencies.Handlers.Ready(n.IsReady), ReadHeaderTimeout: headerTimeout},
-		settings.Directory: {Handler: n.dependencies.Handlers.Directory(n.directory), ReadHeaderTimeout: headerTimeout},
-		settings.Control:   {Handler: n.controlHandler(), ReadHeaderTimeout: headerTimeout},
+	handlers := map[netip.AddrPort]http.Handler{
+		settings.Ready:     n.dependencies.Handlers.Ready(n.IsReady),
+		settings.Directory: n.dependencies.Handlers.Directory(n.directory),
+		settings.Control:   n.controlHandler(),
 	}
 	if settings.Metrics.IsValid() {
-		servers[settings.Metrics] = &http.Server{Handler: n.reportHandler(), ReadHeaderTimeout: headerTimeout}
+		handlers[settings.Metrics] = n.reportHandler()
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for address, server := range servers {
-		var listener net.Listener
-		if listener, err = net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(address)); err != nil {
+	servers := []*http.Server{n.callerServer}
+	for address, handler := range handlers {
+		var port *net.TCPListener
+		if port, err = net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(address)); err != nil {
 			return trace.ConvertSystemError(err)
 		}
+		server, listener := n.newPort(handler, port)
+		servers = append(servers, server)
 		group.Go(func() error { return serve(server, listener) })
 	}
-	servers[settings.Callers] = n.callerServer
 	group.Go(func() error { return serve(n.callerServer, n.listener) })
 	n.log.Info("started", "place", settings.Place, "callers", settings.Callers, "peers", settings.Peers, "seeds", len(settings.Seeds))
 	group.Go(func() error { n.loop(ctx); return nil })
--- a/node/report.go
+++ b/node/report.go
@@ -48,6 +48,8 @@
 	HeldShare     float64
 	InFlight      int64
 	DroppedEvents int64
+	// Budgets are what callers hold, and the limits.
+	Budgets BudgetStatus
 	// Evacuations are the places whose targets get no more requests.
 	Evacuations []EvacuationStatus
 	Members     []Member
@@ -127,6 +129,7 @@
 		Lead: leader.String(), LeadsPlace: n.controller.LeadsPlace(), FleetSize: n.controller.FleetSize(),
 		AllowanceDivisor: division.Divisor, FleetSizeKnown: division.IsKnown, LostVMs: division.Lost, HeldShare: n.controller.HeldShare(now),
 		InFlight: n.server.InFlight(), DroppedEvents: n.droppedEvents.Load(),
+		Budgets: n.budgetStatus(),
 	}
 	status.Revision, _ = n.controller.Revisions()
 	status.Rejected, status.RejectedReason = n.recordCache.rejected.revision, n.recordCache.rejected.reason
