relay: a body that its caller breaks off is no evidence against the target

Cause: seen in /status of a VM beside TestHostileBodiesOneByteShort: with a short budget, bodies below 1 MB are streamed, and the missing responses of 168 bodies that stop one byte short brought the probability that each of four healthy targets is unhealthy to 0.9975, which is reported to the fleet. Bodies over 1 MB did so before as well. Change: a checkpoint begins again while the body is incomplete; an attempt whose body broke off has no verdict. When the picked target has no free slot, the body that has stalled longest is ended. Writes to callers are tracked in pieces of 64 KB instead of 16 KB: fewer calls for the same bound. Measured: TestBrokenBodyIsNoEvidence fails without the change to the forwarder.

--- a/drain/bounds.go
+++ b/drain/bounds.go
@@ -16,7 +16,7 @@
 	// several times the longest time budget of a request.
 	writeTimeout = 30 * time.Second
 	// writeSize is the size of one write to a caller whose progress is tracked, in bytes.
-	writeSize = 16 << 10
+	writeSize = 64 << 10
 	// freshTime is the age below which a connection without a request is closed last:
 	// its first request may be on its way.
 	freshTime = time.Second
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -77,6 +77,10 @@
 	if body.hold.Retain() {
 		defer body.hold.Release()
 	}
+	if pick.Wait > 0 {
+		// Others wait for slots of targets.
+		body.hold.EndStalled(a.sentAt, stallTime)
+	}
 	slot := f.pool.Connections.Open(ownerOf(exchange))
 	if !slot.Take(1) {
 		// Bodies that stall while they are streamed hold connections too.
@@ -164,6 +168,10 @@
 		go func() { sending <- f.writeRest(connection, body) }()
 	}
 	f.readResponse(exchange, body.hold, connection, a)
+	if a.response == nil && body.rest.isBroken() {
+		// The caller broke its body off, which says nothing about the target.
+		a.verdict = ferry.VerdictNone
+	}
 	if a.response != nil && (err != nil || !isSent(sending)) {
 		// The target would read the next request as the rest of the body.
 		release := a.response.release
--- a/relay/body.go
+++ b/relay/body.go
@@ -167,6 +167,18 @@
 	return r.err != nil && !errors.Is(r.err, io.EOF)
 }
 
+// isIncomplete reports whether the caller has not sent all of the body, or can't.
+func (r *bodyRest) isIncomplete() bool { return r != nil && !r.isWhole.Load() }
+
+// isBroken reports whether a read has failed, without a wait for one in progress.
+func (r *bodyRest) isBroken() bool {
+	if r == nil || !r.mu.TryLock() {
+		return false
+	}
+	defer r.mu.Unlock()
+	return r.err != nil && !errors.Is(r.err, io.EOF)
+}
+
 // end makes further reads fail and returns when none is in progress. If an attempt has
 // begun to read the body and hasn't read it whole, interrupt is called: it has to end a
 // read that waits for the caller.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -114,6 +114,8 @@
 	// latest is the last attempt that was sent, with its remaining checkpoints.
 	latest      *pendingAttempt
 	checkpoints []checkpoint
+	// isBodyLate reports that the body was incomplete at the last checkpoint.
+	isBodyLate bool
 	cancel      context.CancelFunc
 }
 
@@ -337,6 +339,12 @@
 	if len(r.checkpoints) == 0 || r.latest == nil {
 		return
 	}
+	if isIncomplete := r.body.rest.isIncomplete(); isIncomplete || r.isBodyLate {
+		// The target can't respond before it has the body: the wait begins again.
+		r.isBodyLate = isIncomplete
+		timer.Reset(r.checkpoints[0].after)
+		return
+	}
 	reached := r.checkpoints[0]
 	r.checkpoints = r.checkpoints[1:]
 	r.latest.evidenceHundredths.Add(int64(reached.evidence * 100))
--- a/relay/receive_test.go
+++ b/relay/receive_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/flight"
 )
 
@@ -158,6 +159,30 @@
 	h.eventually(t, func() bool { return h.bytes.Load().Usage().Used == 0 })
 }
 
+// A caller that stops or leaves in the middle of a streamed body is no evidence against
+// the target.
+func TestBrokenBodyIsNoEvidence(t *testing.T) {
+	t.Parallel()
+	for _, leaves := range []bool{false, true} {
+		is := is.New(t)
+		h := newHarness(t, startTarget(t, "a", respondOK))
+		logOdds := func() float64 { return h.chooser.List(monotonicTime(ferry.NewSystemClock()))[0].LogOdds }
+		before := logOdds()
+		body := numberedBody(2 << 20)
+		caller := h.startUpload(t, len(body), false, testDeadline+": 3000")
+		is.NoErr(caller.send(body[:len(body)-1]))
+		if leaves {
+			h.eventually(t, func() bool { return h.received() == 1 })
+			is.NoErr(caller.Close())
+		} else {
+			is.Equal(readRefusal(t, caller).StatusCode, http.StatusGatewayTimeout)
+		}
+		h.eventually(t, func() bool { return h.server.InFlight() == 0 })
+		time.Sleep(50 * time.Millisecond)
+		is.True(logOdds() <= before)
+	}
+}
+
 // When the connections to targets are used up, a request is refused with a true 503.
 func TestConnectionBudget(t *testing.T) {
 	t.Parallel()
