--- a/node/report.go
+++ b/node/report.go
@@ -50,6 +50,8 @@
 	DroppedEvents int64
 	// Rooms are the services that requests of this VM went to, with their room.
 	Rooms []RoomStatus `json:",omitempty"`
+	// Budgets are what callers hold, and the limits.
+	Budgets BudgetStatus
 	// Evacuations are the places whose targets get no more requests.
 	Evacuations []EvacuationStatus
 	Members     []Member
@@ -142,6 +144,7 @@
 		Lead: leader.String(), LeadsPlace: n.controller.LeadsPlace(), FleetSize: n.controller.FleetSize(),
 		AllowanceDivisor: division.Divisor, FleetSizeKnown: division.IsKnown, LostVMs: division.Lost, HeldShare: n.controller.HeldShare(now),
 		InFlight: n.server.InFlight(), DroppedEvents: n.droppedEvents.Load(),
+		Budgets: n.budgetStatus(),
 	}
 	status.Revision, _ = n.controller.Revisions()
 	status.Rejected, status.RejectedReason = n.recordCache.rejected.revision, n.recordCache.rejected.reason
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -116,7 +116,9 @@
 	// latest is the last attempt that was sent, with its remaining checkpoints.
 	latest      *pendingAttempt
 	checkpoints []checkpoint
-	cancel      context.CancelFunc
+	// isBodyLate reports that the body was incomplete at the last checkpoint.
+	isBodyLate bool
+	cancel     context.CancelFunc
 	// room decides for the service, wanted is what it knows of the request, and ticket
 	// the request's place in it, or nil.
 	room   *serviceRoom
@@ -172,6 +174,10 @@
 		err = f.sendAttempts(ctx, sendCtx, r)
 	}
 	r.leaveRoom(room.Failed)
+	if tooLarge := body.rest.tooLarge(); tooLarge != nil && exchange.Status == 0 && !errors.Is(err, context.Canceled) {
+		// A target has got a part of the body.
+		tooLarge.Outcome, err = ferry.OutcomeUnknown, tooLarge
+	}
 	if r.isIdempotent || r.inFlight == 0 || !errors.Is(err, context.Canceled) {
 		r.cancel()
 	}
@@ -343,6 +349,12 @@
 	if len(r.checkpoints) == 0 || r.latest == nil {
 		return
 	}
+	if isIncomplete := r.body.rest.isIncomplete(); isIncomplete || r.isBodyLate {
+		// The target can't respond before it has the body: the wait begins again.
+		r.isBodyLate = isIncomplete
+		timer.Reset(r.checkpoints[0].after)
+		return
+	}
 	reached := r.checkpoints[0]
 	r.checkpoints = r.checkpoints[1:]
 	r.latest.evidenceHundredths.Add(int64(reached.evidence * 100))
