--- a/cmd/monsoonferry/main.go
+++ b/cmd/monsoonferry/main.go
@@ -6,6 +6,7 @@
 //	monsoonferry node [--settings FILE]
 //	monsoonferry explain --id ID [LOG FILE ...]
 //	monsoonferry check [--settings FILE] [--inventory FILE [--against FILE]]
+//	monsoonferry check --platform FILE [--against FILE | --against-store] [--targets FILE] [--settings FILE] [--format text|json]
 //	monsoonferry status --admin ADDRESS --key KEY
 //	monsoonferry drain --admin ADDRESS --key KEY
 //	monsoonferry version
@@ -13,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -22,6 +24,7 @@
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
+	"monsoonferry.org/ferry/check"
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/host"
 )
@@ -34,7 +37,15 @@
 		Commands:              []*cli.Command{serveCommand(), nodeCommand(), explainCommand(), checkCommand(), statusCommand(), drainCommand(), versionCommand()},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
+		var found findingsError
+		if errors.As(err, &found) {
+			os.Exit(found.severity.ExitCode())
+		}
 		fmt.Fprintln(os.Stderr, "monsoonferry:", trace.UserMessage(err))
+		var unable unableError
+		if errors.As(err, &unable) {
+			os.Exit(check.Error.ExitCode())
+		}
 		os.Exit(1)
 	}
 }
--- a/cmd/monsoonferry/operate.go
+++ b/cmd/monsoonferry/operate.go
@@ -19,23 +19,35 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "check",
-		Usage: "check settings and inventory, and print the changes between two inventories",
+		Usage: "check settings and inventory, or a configuration in the platform's form, before it is sent",
+		Description: "With --platform, the exit code is 0 without findings, 1 with warnings and 2 with errors.\n" +
+			"docs/CHECKS.md describes each rule.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`"},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`; with --platform, that of the command node"},
 			&cli.StringFlag{Name: "inventory", Usage: "inventory `FILE`"},
-			&cli.StringFlag{Name: "against", Usage: "inventory `FILE` to compare with"},
+			&cli.StringFlag{Name: "platform", Usage: "configuration `FILE` in the platform's form"},
+			&cli.StringFlag{Name: "against", Usage: "`FILE` of the version in force to compare with"},
+			&cli.BoolFlag{Name: "against-store", Usage: "read the version in force and the targets from the store of the settings"},
+			&cli.StringFlag{Name: "targets", Usage: "`FILE` with a saved response of the store that lists targets"},
+			&cli.StringFlag{Name: "format", Usage: "text or json", Value: formatText},
 		},
-		Action: func(_ context.Context, command *cli.Command) error {
-			return check(command.Root().Writer, command.String("settings"), command.String("inventory"), command.String("against"))
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return unableError{trace.Wrap(err)}
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			if command.String("platform") != "" {
+				return checkPlatform(ctx, command)
+			}
+			return checkInventory(command.Root().Writer, command.String("settings"), command.String("inventory"), command.String("against"))
 		},
 	}
 }
 
-// check prints all problems of the given files, and returns an error if there are
+// checkInventory prints all problems of the given files, and returns an error if there are
 // any. Otherwise it prints how inventory differs from against, if both are given.
-func check(w io.Writer, settings, inventory, against string) (err error) {
+func checkInventory(w io.Writer, settings, inventory, against string) (err error) {
 	if settings == "" && inventory == "" {
-		return trace.BadParameter("--settings or --inventory is required")
+		return trace.BadParameter("--settings, --inventory or --platform is required")
 	}
 	hasProblems := false
 	if settings != "" {
