node: log what the checks find in a configuration in force

Cause: operators who didn't check a configuration saw only the decoder's findings. Change: once in sweepInterval at most, a goroutine checks the configuration newly in force and logs its findings with the same rules, 20 at most; neither requests nor the proof wait. The maps of the checks are made in their size.

--- a/check/entries.go
+++ b/check/entries.go
@@ -140,7 +140,7 @@
 }
 
 func (c *entryChecker) checkNames() {
-	seen := map[position]int{}
+	seen := make(map[position]int, len(c.inventory.Routes)+len(c.inventory.Services)+len(c.inventory.Accounts))
 	check := func(at position) {
 		key := position{list: at.list, name: at.name}
 		if first, ok := seen[key]; ok && at.name != "" {
@@ -282,7 +282,7 @@
 }
 
 func (c *entryChecker) checkAccounts() {
-	owners := map[ferry.KeyHash]int{}
+	owners := make(map[ferry.KeyHash]int, len(c.inventory.Accounts))
 	for i := range c.inventory.Accounts {
 		account := &c.inventory.Accounts[i]
 		at := accountAt(i, account)
--- a/node/loop.go
+++ b/node/loop.go
@@ -130,6 +130,7 @@
 		n.sweptAt = now.Monotonic
 		n.pool.Sweep(now.Monotonic, n.isListed)
 		n.closeOverdueCallers()
+		n.startCheck()
 	}
 	n.logFreshness()
 	n.logViewSize()
@@ -137,6 +138,16 @@
 	n.traffic.log(now.Monotonic, n.log)
 }
 
+// startCheck starts the checks of a configuration that is newly in force. They run
+// beside the loop, since they take longer than a message may wait, and at most once in
+// sweepInterval.
+func (n *Node) startCheck() {
+	if snapshot := n.state.snapshot.Load(); snapshot != n.checked {
+		n.checked = snapshot
+		go logEntries(n.log, snapshot.Inventory())
+	}
+}
+
 // closeOverdueCallers closes the connections of callers that take longer than the
 // configuration allows.
 func (n *Node) closeOverdueCallers() {
--- a/node/node.go
+++ b/node/node.go
@@ -92,6 +92,8 @@
 	formerProof    ferry.Moment
 	hasFormerProof bool
 	sweptAt        time.Duration
+	// checked is the last configuration of which the findings are logged.
+	checked        *conf.Snapshot
 	reportedStatus lead.StatusChanged
 	isStale        bool
 	viewSize       int
--- a/node/state.go
+++ b/node/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/check"
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/relay"
 )
@@ -16,7 +17,8 @@
 // keys. It covers the time between the check and the arrival at the target.
 const revokeMargin = 500 * time.Millisecond
 
-// maxLoggedFindings is the number of findings of one configuration that are logged.
+// maxLoggedFindings is the number of findings of one configuration that are logged, of
+// the decoder and of the checks each.
 const maxLoggedFindings = 20
 
 // requestState holds the state that requests read. The loop writes it: a configuration
@@ -171,14 +173,31 @@
 		return nil
 	}
 	c.rejected = rejection{}
-	for i, finding := range inventory.Findings {
+	logFindings(c.log, inventory.Version, inventory.Findings)
+	return inventory
+}
+
+// logFindings logs the first findings about a configuration.
+func logFindings(log *slog.Logger, version uint64, findings []ferry.Finding) {
+	for i, finding := range findings {
 		if i == maxLoggedFindings {
-			c.log.Warn("further configuration findings not logged", "version", inventory.Version, "count", len(inventory.Findings)-i)
-			break
+			log.Warn("further configuration findings not logged", "version", version, "count", len(findings)-i)
+			return
 		}
-		c.log.Warn("configuration finding", "version", inventory.Version, "rule", finding.Rule, "path", finding.Path, "name", finding.Name, "text", finding.Text)
+		log.Warn("configuration finding", "version", version, "rule", finding.Rule, "path", finding.Path, "name", finding.Name, "text", finding.Text)
 	}
-	return inventory
+}
+
+// logEntries logs what the checks of operators find in a configuration, apart from the
+// findings of the decoder.
+func logEntries(log *slog.Logger, inventory *ferry.Inventory) {
+	found := check.Entries(inventory, check.Context{}, check.DefaultLocator{})
+	check.Sort(found)
+	findings := make([]ferry.Finding, 0, len(found))
+	for _, finding := range found {
+		findings = append(findings, finding.Finding)
+	}
+	logFindings(log, inventory.Version, findings)
 }
 
 // target decodes the record of a target. An unusable one is logged once, until the
--- a/node/state_test.go
+++ b/node/state_test.go
@@ -1,10 +1,15 @@
 package node
 
 import (
+	"bytes"
+	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/place"
 	"monsoonferry.org/ferry/platform"
@@ -47,3 +52,25 @@
 		}
 	})
 }
+
+// The findings of the checks are logged by their rules, errors first, up to the bound.
+func TestLogEntries(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	inventory := &ferry.Inventory{Version: 7}
+	for i := range maxLoggedFindings + 1 {
+		inventory.Accounts = append(inventory.Accounts, ferry.Account{ID: ferry.AccountID(fmt.Sprintf("a%d", i))})
+	}
+	for i := range 2 {
+		inventory.Accounts[i].Keys = []ferry.KeyHash{ferry.HashKey("key")}
+	}
+	var log bytes.Buffer
+	logEntries(slog.New(slog.NewTextHandler(&log, nil)), inventory)
+	is.Equal(strings.Count(log.String(), "rule=SharedKey"), 1)
+	is.True(strings.Contains(strings.SplitAfter(log.String(), "\n")[0], "rule=SharedKey"))
+	is.Equal(strings.Count(log.String(), "rule=NoKeys"), maxLoggedFindings-1)
+	is.Equal(strings.Count(log.String(), "further configuration findings not logged"), 0)
+	inventory.Accounts = append(inventory.Accounts, ferry.Account{ID: "last"})
+	logEntries(slog.New(slog.NewTextHandler(&log, nil)), inventory)
+	is.Equal(strings.Count(log.String(), "further configuration findings not logged"), 1)
+}
