--- a/node/node.go
+++ b/node/node.go
@@ -98,10 +98,12 @@
 	// budgetsLoggedAt is when logBudgets last looked, budgetRefusals what it counted.
 	budgetsLoggedAt time.Duration
 	budgetRefusals  uint64
-	reportedStatus  lead.StatusChanged
-	isStale         bool
-	viewSize        int
-	division        lead.Division
+	// checked is the last configuration of which the findings are logged.
+	checked        *conf.Snapshot
+	reportedStatus lead.StatusChanged
+	isStale        bool
+	viewSize       int
+	division       lead.Division
 
 	// placeCaches holds the tokens for the VMs of the place that this VM leads.
 	placeCaches   map[ferry.AccountID]*grant.PlaceCache
