--- a/lead/pool.go
+++ b/lead/pool.go
@@ -14,7 +14,7 @@
 	maxPooledLogOdds = 6.0
 	// poolDecay is the time in which log odds approach the prior by the factor e.
 	// Targets are unhealthy for some seconds at a time.
-	poolDecay = 8 * time.Second
+	poolDecay = 4 * time.Second
 	// PriorLogOdds are the log odds that a target without evidence is unhealthy:
 	// about one in sixty.
 	PriorLogOdds = -4.0
--- a/place/evidence.go
+++ b/place/evidence.go
@@ -32,9 +32,8 @@
 	priorLogOdds = lead.PriorLogOdds
 	minLogOdds   = -4.5
 	maxLogOdds   = 6.0
-	// evidenceDecay is the time in which evidence loses weight by the factor e. Targets
-	// that fell silent fall silent again, more often than others for about this time.
-	evidenceDecay = 6 * time.Second
+	// evidenceDecay is the time in which evidence loses weight by the factor e.
+	evidenceDecay = 3 * time.Second
 )
 
 // EvidenceOf returns the evidence that the verdict of an attempt stands for.
