room: a target that doesn't tell its load is no evidence of free slots

Cause: answers without a report counted as reports of free slots, so a limit grew at once where only sheds tell the load.

Change: they count neither way.

--- a/room/limiter.go
+++ b/room/limiter.go
@@ -127,9 +127,10 @@
 // load that its target reported.
 func (l *limiter) answered(now, took time.Duration, inFlight, queued int, load ferry.TargetLoad) {
 	l.fullShare -= fullShareWeight * l.fullShare
-	if isBusy(load) {
+	switch {
+	case isBusy(load):
 		l.evidence = min(maxEvidence, l.evidence+busyEvidence)
-	} else {
+	case load.Known:
 		l.evidence = max(minEvidence, l.evidence+freeEvidence)
 	}
 	if took > 0 {
--- a/room/load_test.go
+++ b/room/load_test.go
@@ -318,6 +318,24 @@
 	return streams
 }
 
+// playBursts plays bursts and returns what their callers got, the share that the capacity
+// allows, and the sends.
+func playBursts(t *testing.T, vms int, factor float64) (sum counts, bound float64, sheds, sends int) {
+	t.Helper()
+	for seed := range uint64(playSeeds) {
+		p := newPlay(3+seed, vms, 12)
+		capacity := p.capacity()
+		p.run(append(even("burst", 20, 0, capacity*factor, time.Second, 7*time.Second),
+			even("calm", 20, 0, capacity*0.5, 0, time.Second)...)...)
+		got := p.got["burst"]
+		sum.add(got)
+		// A request that is on time starts early enough for its work.
+		bound += min(float64(got.arrived), capacity*(6+(playAim-playWork).Seconds()))
+		sheds, sends = sheds+p.sheds, sends+p.sends
+	}
+	return sum, bound / float64(sum.arrived), sheds, sends
+}
+
 // Bursts of 1.4 to 2.5 times capacity: callers get what the capacity allows, on time,
 // and few requests are sent to full targets.
 func TestBurstGetsTheCapacity(t *testing.T) {
@@ -327,21 +345,7 @@
 			t.Run(fmt.Sprintf("%d VMs %.1f", vms, factor), func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				var sum counts
-				bound, sheds, sends := 0.0, 0, 0
-				for seed := range uint64(playSeeds) {
-					p := newPlay(3+seed, vms, 12)
-					capacity := p.capacity()
-					p.run(append(even("burst", 20, 0, capacity*factor, time.Second, 7*time.Second),
-						even("calm", 20, 0, capacity*0.5, 0, time.Second)...)...)
-					p.log(t)
-					got := p.got["burst"]
-					sum.add(got)
-					// A request that is on time starts early enough for its work.
-					bound += min(float64(got.arrived), capacity*(6+(playAim-playWork).Seconds()))
-					sheds, sends = sheds+p.sheds, sends+p.sends
-				}
-				bound /= float64(sum.arrived)
+				sum, bound, sheds, sends := playBursts(t, vms, factor)
 				t.Logf("bound %.3f, served %.3f, %.3f late, %d of %d sends shed", bound, sum.served(), float64(sum.late)/float64(sum.arrived), sheds, sends)
 				is.True(sum.served() >= 0.9*bound)
 				// Most are served within the objective, and sheds are rare.
@@ -359,14 +363,7 @@
 func TestBurstAtManyVMsFindsFewFullTargets(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sheds, sends := 0, 0
-	for seed := range uint64(playSeeds) {
-		p := newPlay(3+seed, 24, 12)
-		capacity := p.capacity()
-		p.run(append(even("burst", 20, 0, capacity*2.5, time.Second, 7*time.Second),
-			even("calm", 20, 0, capacity*0.5, 0, time.Second)...)...)
-		sheds, sends = sheds+p.sheds, sends+p.sends
-	}
+	_, _, sheds, sends := playBursts(t, 24, 2.5)
 	t.Logf("%d of %d sends shed by full targets", sheds, sends)
 	is.True(sheds*10 <= sends)
 }
