--- a/crowd/lab_test.go
+++ b/crowd/lab_test.go
@@ -65,7 +65,7 @@
 
 // lab is one VM with a store and targets.
 type lab struct {
-	t       *testing.T
+	t       testing.TB
 	host    string
 	logPath string
 	process *exec.Cmd
@@ -80,7 +80,7 @@
 
 var nextHost, requestIDs atomic.Int64
 
-func startLab(t *testing.T) *lab {
+func startLab(t testing.TB) *lab {
 	t.Helper()
 	l := &lab{t: t, host: fmt.Sprintf("127.32.7.%d", nextHost.Add(1)), exited: make(chan struct{}), release: make(chan struct{})}
 	items := map[string]any{"op/config": configuration()}
@@ -355,7 +355,7 @@
 }
 
 // startStore starts a store whose records don't change, and returns its address.
-func startStore(t *testing.T, items map[string]any) string {
+func startStore(t testing.TB, items map[string]any) string {
 	t.Helper()
 	const revision = 7
 	documents := map[string]map[string]any{}
--- a/flight/ledger.go
+++ b/flight/ledger.go
@@ -43,7 +43,7 @@
 	used      int64
 	owners    map[string]int64
 	receiving map[*Hold]struct{}
-	// freed is closed when units are given back.
+	// freed is closed when units are given back, and nil while nobody waits.
 	freed chan struct{}
 	// refused and ended count the calls of Take that got nothing, and the holds that
 	// EndStalled ended.
@@ -55,7 +55,7 @@
 	if limit <= 0 {
 		return nil
 	}
-	return &Ledger{limit: limit, owners: map[string]int64{}, receiving: map[*Hold]struct{}{}, freed: make(chan struct{})}
+	return &Ledger{limit: limit, owners: map[string]int64{}, receiving: map[*Hold]struct{}{}}
 }
 
 // Usage is the state of a Ledger.
@@ -103,6 +103,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.freed == nil {
+		l.freed = make(chan struct{})
+	}
 	return l.freed
 }
 
@@ -210,8 +213,10 @@
 	if l.owners[h.owner] -= units; l.owners[h.owner] == 0 {
 		delete(l.owners, h.owner)
 	}
-	close(l.freed)
-	l.freed = make(chan struct{})
+	if l.freed != nil {
+		close(l.freed)
+		l.freed = nil
+	}
 }
 
 // Retain adds a user: Release has to be called once more. It reports false, and adds
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -116,7 +116,7 @@
 	checkpoints []checkpoint
 	// isBodyLate reports that the body was incomplete at the last checkpoint.
 	isBodyLate bool
-	cancel      context.CancelFunc
+	cancel     context.CancelFunc
 }
 
 // checkpoint is a time after which a missing response counts as evidence.
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -93,7 +93,7 @@
 }
 
 // startTarget starts a target in the VM's place.
-func startTarget(t *testing.T, id ferry.TargetID, script script) *testTargetServer {
+func startTarget(t testing.TB, id ferry.TargetID, script script) *testTargetServer {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -227,7 +227,7 @@
 	return nil, nil
 }
 
-func newHarness(t *testing.T, targets ...*testTargetServer) *harness {
+func newHarness(t testing.TB, targets ...*testTargetServer) *harness {
 	t.Helper()
 	h := &harness{targets: targets, budgets: &RetryBudgets{}, guard: &testGuard{}, pool: &Pool{}}
 	h.budgets.SetBounds(1, 100, 1)
