relay: TestBodyBudget opens the bodies one after the other

Under the race detector, on a busy machine, the last of five bodies opened at once was not the last to take from the budget, so that another one was refused (seen once of two race runs). The test waits for each before the next; checks as before. Measured: the body, budget and stream tests 18 times with -race in three processes at once, no failure.

--- a/relay/receive_test.go
+++ b/relay/receive_test.go
@@ -88,13 +88,17 @@
 	h := newHarness(t, startTarget(t, "a", respondOK))
 	h.bytes.Store(flight.NewLedger(100 << 10))
 	var paused []caller
-	for range 5 {
+	pause := func() caller {
 		caller := h.startUpload(t, 2<<20, true)
 		is.NoErr(caller.send(numberedBody(15 << 10)))
 		paused = append(paused, caller)
+		return caller
 	}
-	h.eventually(t, func() bool { return h.bytes.Load().Usage().Used >= 64<<10 })
-	refused := readRefusal(t, paused[4])
+	for i := range 4 {
+		pause()
+		h.eventually(t, func() bool { return h.bytes.Load().Usage().Used == int64(i+1)*firstBuffer })
+	}
+	refused := readRefusal(t, pause())
 	is.Equal(refused.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(refused.Header.Get("X-Outcome"), "NotRun")
 	is.True(refused.Header.Get("Retry-After") != "")
