--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -393,3 +393,92 @@
 	}
 	is.True(last >= 500*time.Millisecond)
 }
+
+// Shortly after a refusal requests are refused at once, spread in time; not while a token
+// is cached, and the first one after that asks again.
+func TestKnownEmptyAllowance(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	cache := &TokenCache{Account: "account"}
+	refuse := func(now time.Duration, sequence uint64) {
+		waiter := cache.Take(now)
+		request, isDue := cache.NextRequest(now, sequence)
+		is.True(isDue)
+		cache.HandleReply(now, TokenReply{Sequence: request.Sequence, Account: "account", RetryAfter: 300 * time.Millisecond})
+		is.Equal((<-waiter.Result).RetryAfter, 300*time.Millisecond)
+	}
+	refuse(0, 1)
+	times := map[time.Duration]bool{}
+	for i := range 20 {
+		now := time.Duration(i) * time.Millisecond
+		result := <-cache.Take(now).Result
+		is.True(!result.Granted && result.RetryAfter >= 300*time.Millisecond-now && result.RetryAfter <= maxRetryAfter)
+		times[(now + result.RetryAfter).Round(5*time.Millisecond)] = true
+		_, isDue := cache.NextRequest(now, 2)
+		is.True(!isDue)
+	}
+	is.True(len(times) >= 15)
+	refuse(maxKnownEmpty, 3)
+	cache.HandleReply(maxKnownEmpty, TokenReply{Sequence: 3, Account: "account"})
+	cache.expiries = append(cache.expiries, time.Second)
+	is.Equal(cache.Take(maxKnownEmpty+time.Millisecond), nil)
+}
+
+// Immediate refusals take nothing from an account that sends far beyond its rate, also
+// when its burst is small.
+func TestKnownEmptyCostsNoTokens(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		rate, burst float64
+		vms, places int
+	}{{50, 50, 36, 6}, {200, 40, 36, 6}, {200, 40, 3, 0}, {500, 50, 107, 6}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(8, c.vms, c.rate, c.burst).withPlaceCaches(c.places)
+			f.run(10*time.Second, 7*c.rate)
+			t.Logf("%d admitted of %.0f, %d refused, %d token requests", len(f.admitted), c.rate*10+c.burst, f.refused, f.requests)
+			is.True(float64(len(f.admitted)) >= 0.95*c.rate*10)
+		})
+	}
+}
+
+// After a loss of power the issuer has empty buckets, and the shares of its followers
+// arrive one after the other. Requests within the rate of their account that come in
+// the first second wait and are granted as tokens accrue; one far beyond it is refused
+// when the issuer has settled.
+func TestSettlingIssuerRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	account := &ferry.Account{ID: "a", Rate: 40, Burst: 40}
+	issuer, cache := Issuer{}, TokenCache{Account: "a"}
+	issuer.Reset(time.Minute)
+	var waiters []*Waiter
+	refused, granted := 0, 0
+	for tick := range 60 { // 3 s in steps of 50 ms, with one request each: half of the rate
+		now := time.Minute + time.Duration(tick)*50*time.Millisecond
+		share := min(1, 0.02+float64(tick)/10)
+		if waiter := cache.Take(now); waiter != nil {
+			waiters = append(waiters, waiter)
+		} else {
+			granted++
+		}
+		if request, isDue := cache.NextRequest(now, uint64(tick+1)); isDue {
+			cache.HandleReply(now, issuer.Grant(now, request, account, share))
+		}
+	}
+	for _, waiter := range waiters {
+		select {
+		case result := <-waiter.Result:
+			if result.Granted {
+				granted++
+			} else {
+				refused++
+			}
+		default:
+		}
+	}
+	is.Equal(refused, 0)
+	is.True(granted >= 58) // all but the last
+	reply := issuer.Grant(time.Minute+3*time.Second, TokenRequest{Account: "a", Waiting: 500}, account, 1)
+	is.True(!reply.Unavailable && reply.RetryAfter > 0)
+}
--- a/node/loop.go
+++ b/node/loop.go
@@ -100,6 +100,7 @@
 	bounds := settings.Bounds
 	n.state.bounds.Store(&bounds)
 	n.chooser.SetFloor(bounds.Floor)
+	n.chooser.SetEvenLoad(evenLoad(settings))
 	n.log.Info("settings reloaded", "seeds", len(settings.Seeds))
 	n.step(ctx, lead.SeedsChanged{Seeds: settings.Seeds})
 }
@@ -121,6 +122,7 @@
 		n.step(ctx, lead.Tick{})
 	}
 	n.tickCold()
+	n.dealSlots()
 	n.limiter.tick()
 	n.tickPlaceCaches()
 	now := n.clock.Now()
@@ -130,6 +132,7 @@
 		n.sweptAt = now.Monotonic
 		n.pool.Sweep(now.Monotonic, n.isListed)
 		n.closeOverdueCallers()
+		n.startCheck()
 	}
 	n.logFreshness()
 	n.logViewSize()
@@ -138,6 +141,16 @@
 	n.logBudgets(now.Monotonic)
 }
 
+// startCheck starts the checks of a configuration that is newly in force. They run
+// beside the loop, since they take longer than a message may wait, and at most once in
+// sweepInterval.
+func (n *Node) startCheck() {
+	if snapshot := n.state.snapshot.Load(); snapshot != n.checked {
+		n.checked = snapshot
+		go logEntries(n.log, snapshot.Inventory())
+	}
+}
+
 // closeOverdueCallers closes the connections of callers that take longer than the
 // configuration allows.
 func (n *Node) closeOverdueCallers() {
@@ -216,6 +229,7 @@
 	if current := n.state.proof.Load(); current == nil || *current != proof {
 		n.state.proof.Store(&proof)
 	}
+	n.state.endFirstWait()
 }
 
 // publishView publishes the view to the directory and the chooser.
@@ -223,13 +237,14 @@
 	view := n.controller.View()
 	n.directory.SetView(view)
 	n.traffic.setView(view)
-	readyInPlace := 0
+	var readyInPlace []netip.AddrPort
 	for _, vm := range view {
 		if vm.Place == n.dependencies.Settings.Place && vm.Ready && !vm.Leaving {
-			readyInPlace++
+			readyInPlace = append(readyInPlace, vm.Peers)
 		}
 	}
-	n.chooser.SetPlaceVMs(readyInPlace)
+	n.chooser.SetPlaceVMs(len(readyInPlace))
+	n.chooser.SetPeers(n.dependencies.Settings.Peers, readyInPlace)
 }
 
 // logViewSize logs a changed size of the view. It runs at ticks, since the view
--- a/node/node.go
+++ b/node/node.go
@@ -73,6 +73,7 @@
 	budgets       *relay.RetryBudgets
 	pool          *relay.Pool
 	server        *relay.Server
+	forwarder     *relay.Forwarder
 	limiter       *tokenLimiter
 	callerServer  *http.Server
 	listener      *drain.Listener
@@ -97,10 +98,12 @@
 	// budgetsLoggedAt is when logBudgets last looked, budgetRefusals what it counted.
 	budgetsLoggedAt time.Duration
 	budgetRefusals  uint64
-	reportedStatus  lead.StatusChanged
-	isStale         bool
-	viewSize        int
-	division        lead.Division
+	// checked is the last configuration of which the findings are logged.
+	checked        *conf.Snapshot
+	reportedStatus lead.StatusChanged
+	isStale        bool
+	viewSize       int
+	division       lead.Division
 
 	// placeCaches holds the tokens for the VMs of the place that this VM leads.
 	placeCaches   map[ferry.AccountID]*grant.PlaceCache
@@ -118,7 +121,7 @@
 	settings := dependencies.Settings
 	n := &Node{
 		dependencies: dependencies, log: dependencies.Log, clock: dependencies.Clock,
-		state:        &requestState{clock: dependencies.Clock},
+		state:        &requestState{clock: dependencies.Clock, first: make(chan struct{})},
 		directory:    &Directory{regions: settings.Regions, lifetime: settings.Bounds.EntryLifetime},
 		chooser:      place.NewChooser(settings.Place, settings.Regions),
 		budgets:      &relay.RetryBudgets{},
@@ -129,6 +132,7 @@
 		placeCaches:  map[ferry.AccountID]*grant.PlaceCache{},
 		recordCache:  recordCache{decoder: dependencies.Decoder, log: dependencies.Log},
 	}
+	n.issuer.Reset(dependencies.Clock.Now().Monotonic)
 	n.limits = newBudgets(settings.MemoryLimit, descriptorLimit(settings))
 	n.bodies = flight.NewLedger(n.limits.bodyBytes)
 	n.pool.Connections = flight.NewLedger(int64(n.limits.targetConnections))
@@ -137,11 +141,14 @@
 	n.state.bounds.Store(&bounds)
 	n.chooser.SetFloor(bounds.Floor)
 	n.chooser.SetSeed(rand.Uint64())
+	n.chooser.SetEvenLoad(evenLoad(settings))
+	n.registerSlotMetrics()
 	n.budgets.SetBounds(bounds.RetryRatio, bounds.RetrySlack, 1)
 	n.limiter = &tokenLimiter{clock: dependencies.Clock, send: n.sendTokenRequest, caches: map[ferry.AccountID]*grant.TokenCache{}}
 	counters := relay.NewMetrics(n.metrics)
-	forwarder := relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
-	chain := ferry.Chain(forwarder,
+	n.forwarder = relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
+	n.forwarder.SetLowerRankShare(settings.LowerRankShare)
+	chain := ferry.Chain(n.forwarder,
 		relay.RouteFilter{Freshness: n.state}, relay.AccountFilter{Freshness: n.state}, relay.BodyFilter{Bytes: n.bodies}, relay.AllowanceFilter{Limiter: n.limiter})
 	n.server = relay.NewServer(chain, n.state, dependencies.Dialect, dependencies.Clock, dependencies.Log, counters)
 	self := lead.VM{
--- a/node/report.go
+++ b/node/report.go
@@ -48,6 +48,8 @@
 	HeldShare     float64
 	InFlight      int64
 	DroppedEvents int64
+	// Rooms are the services that requests of this VM went to, with their room.
+	Rooms []RoomStatus `json:",omitempty"`
 	// Budgets are what callers hold, and the limits.
 	Budgets BudgetStatus
 	// Evacuations are the places whose targets get no more requests.
@@ -56,6 +58,19 @@
 	Targets     []TargetStatus
 }
 
+// RoomStatus is the room of one service at this VM.
+type RoomStatus struct {
+	Service ferry.ServiceID
+	// Limit is the number of requests in flight that are allowed, zero for any.
+	Limit    float64
+	InFlight int
+	Queued   int
+	// ExpectedWait is that of a further request of the most urgent rank.
+	ExpectedWait string `json:",omitempty"`
+	// ReportAge is the time since the last report of a full target, with a limit.
+	ReportAge string `json:",omitempty"`
+}
+
 // EvacuationStatus is the evacuation of a place as this VM sees it.
 type EvacuationStatus struct {
 	Place ferry.PlaceID
@@ -79,9 +94,11 @@
 	Service ferry.ServiceID
 	Place   ferry.PlaceID
 	// Chance is the probability that the target is unhealthy.
-	Chance  float64
-	Own     int
-	Leaving bool
+	Chance float64
+	Own    int
+	// OwnedSlots is the number of its slots that this VM owns.
+	OwnedSlots int `json:",omitempty"`
+	Leaving    bool
 	// SaidLeaving reports that the target said in a response that it is leaving.
 	SaidLeaving bool
 	// Backoff is how long the target gets no request because it asked for a pause.
@@ -140,6 +157,13 @@
 	if age, ok := n.state.proofAge(); ok {
 		status.ProofAge = age.String()
 	}
+	for _, service := range n.forwarder.Rooms() {
+		room := RoomStatus{Service: service.Service, Limit: service.Limit, InFlight: service.InFlight, Queued: service.Queued}
+		if service.Limit > 0 {
+			room.ExpectedWait, room.ReportAge = service.ExpectedWait.String(), service.ReportAge.String()
+		}
+		status.Rooms = append(status.Rooms, room)
+	}
 	for _, evacuation := range n.chooser.Evacuations() {
 		status.Evacuations = append(status.Evacuations, EvacuationStatus{
 			Place: evacuation.Place, Known: (now.Monotonic - evacuation.Since).String(), Complete: now.Monotonic >= evacuation.Until,
@@ -151,7 +175,7 @@
 	for _, view := range n.chooser.List(now.Monotonic) {
 		target := TargetStatus{
 			ID: view.Target.ID, Service: view.Target.Service, Place: view.Target.Place,
-			Chance: place.Probability(view.LogOdds), Own: view.OwnRequests, Leaving: view.Target.Leaving, SaidLeaving: view.SaidLeaving,
+			Chance: place.Probability(view.LogOdds), Own: view.OwnRequests, OwnedSlots: view.OwnedSlots, Leaving: view.Target.Leaving, SaidLeaving: view.SaidLeaving,
 		}
 		if view.Backoff > 0 {
 			target.Backoff = view.Backoff.String()
--- a/node/state.go
+++ b/node/state.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/check"
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/relay"
 )
@@ -14,7 +17,8 @@
 // keys. It covers the time between the check and the arrival at the target.
 const revokeMargin = 500 * time.Millisecond
 
-// maxLoggedFindings is the number of findings of one configuration that are logged.
+// maxLoggedFindings is the number of findings of one configuration that are logged, of
+// the decoder and of the checks each.
 const maxLoggedFindings = 20
 
 // requestState holds the state that requests read. The loop writes it: a configuration
@@ -28,6 +32,25 @@
 	// It also holds for a configuration record that could not be used: the former
 	// configuration and its keys stay in force, for as long as that record is the latest.
 	proof atomic.Pointer[ferry.Moment]
+	// first is closed once the first configuration is in force, with a proof.
+	first     chan struct{}
+	firstOnce sync.Once
+}
+
+// WaitFirst implements relay.Snapshots.
+func (s *requestState) WaitFirst(ctx context.Context) ferry.Snapshot {
+	select {
+	case <-s.first:
+	case <-ctx.Done():
+	}
+	return s.Snapshot()
+}
+
+// endFirstWait lets the requests go on that wait for the first configuration.
+func (s *requestState) endFirstWait() {
+	if s.snapshot.Load() != nil {
+		s.firstOnce.Do(func() { close(s.first) })
+	}
 }
 
 // Snapshot implements relay.Snapshots.
@@ -150,14 +173,31 @@
 		return nil
 	}
 	c.rejected = rejection{}
-	for i, finding := range inventory.Findings {
+	logFindings(c.log, inventory.Version, inventory.Findings)
+	return inventory
+}
+
+// logFindings logs the first findings about a configuration.
+func logFindings(log *slog.Logger, version uint64, findings []ferry.Finding) {
+	for i, finding := range findings {
 		if i == maxLoggedFindings {
-			c.log.Warn("further configuration findings not logged", "version", inventory.Version, "count", len(inventory.Findings)-i)
-			break
+			log.Warn("further configuration findings not logged", "version", version, "count", len(findings)-i)
+			return
 		}
-		c.log.Warn("configuration finding", "version", inventory.Version, "rule", finding.Rule, "path", finding.Path, "name", finding.Name, "text", finding.Text)
+		log.Warn("configuration finding", "version", version, "rule", finding.Rule, "path", finding.Path, "name", finding.Name, "text", finding.Text)
 	}
-	return inventory
+}
+
+// logEntries logs what the checks of operators find in a configuration, apart from the
+// findings of the decoder.
+func logEntries(log *slog.Logger, inventory *ferry.Inventory) {
+	found := check.Entries(inventory, check.Context{}, check.DefaultLocator{})
+	check.Sort(found)
+	findings := make([]ferry.Finding, 0, len(found))
+	for _, finding := range found {
+		findings = append(findings, finding.Finding)
+	}
+	logFindings(log, inventory.Version, findings)
 }
 
 // target decodes the record of a target. An unusable one is logged once, until the
--- a/place/chooser.go
+++ b/place/chooser.go
@@ -48,7 +48,9 @@
 	Distance ferry.Distance
 	// LogOdds are the log odds, at the choice, that the target is unhealthy.
 	LogOdds float64
-	state   *targetState
+	// Slot tells whose slot the request uses.
+	Slot  SlotKind
+	state *targetState
 	// credit is the credit taken for the request, or nil.
 	credit *coldCredit
 }
@@ -74,6 +76,12 @@
 	ownRequests atomic.Int32
 	// chosenAt is when this VM last chose the target.
 	chosenAt atomic.Int64
+	// use is the average use in the target's place.
+	use *placeUse
+	// idleUntil is until when this VM has an idle connection.
+	idleUntil atomic.Int64
+	// ownedSlots is the number of slots that this VM owns.
+	ownedSlots atomic.Int32
 	// isUsed reports that usedTargets lists the target.
 	isUsed atomic.Bool
 	// isLeaving and closedUntil are the standing of the target's process.
@@ -141,13 +149,18 @@
 	seed    uint64
 	choices atomic.Uint64
 	used    usedTargets
-	cold    coldState
+	slots   slotState
+	even    atomic.Pointer[EvenLoad]
+	// uses holds the average use by place. Update adds to it.
+	uses map[placeService]*placeUse
+	cold coldState
 }
 
 // NewChooser returns the chooser of a VM in the place.
 func NewChooser(place ferry.PlaceID, regions ferry.Regions) *Chooser {
-	c := &Chooser{place: place, regions: regions, regionBits: regionBits(regions), states: map[ferry.TargetID]*targetState{}}
+	c := &Chooser{place: place, regions: regions, regionBits: regionBits(regions), states: map[ferry.TargetID]*targetState{}, uses: map[placeService]*placeUse{}}
 	c.table.Store(&serviceTable{services: map[ferry.ServiceID]*service{}})
+	c.even.Store(&EvenLoad{})
 	return c
 }
 
@@ -162,7 +175,7 @@
 		present[target.ID] = true
 		state := c.states[target.ID]
 		if state == nil || !isSameProcess(state.target, target) {
-			state = &targetState{target: target, region: c.regionBits[c.regions[target.Place]], ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now}
+			state = &targetState{target: target, region: c.regionBits[c.regions[target.Place]], ownLogOdds: priorLogOdds, fleetLogOdds: priorLogOdds, ownLogOddsAt: now, use: c.useOf(target)}
 			state.apply(c.standings.get(target.Process()))
 			state.evacuation.Store(findEvacuation(c.evacuations(), target.Place))
 			c.states[target.ID] = state
@@ -190,6 +203,7 @@
 		}
 	}
 	c.table.Store(next)
+	c.slots.isDue = true
 	c.standings.expire(now, func(process ferry.TargetProcess) bool {
 		state := c.states[process.ID]
 		return state != nil && state.target.Process() == process
@@ -234,6 +248,8 @@
 // TargetView is the chooser's state of a target.
 type TargetView struct {
 	Target ferry.Target
+	// OwnedSlots is the number of its slots that this VM owns.
+	OwnedSlots int
 	// LogOdds are the log odds that the target is unhealthy.
 	LogOdds float64
 	// OwnRequests is the number of this VM's requests on the target.
@@ -253,7 +269,8 @@
 		list = append(list, TargetView{
 			Target: s.target, LogOdds: s.logOdds(now), OwnRequests: int(s.ownRequests.Load()),
 			SaidLeaving: s.isLeaving.Load(), Backoff: max(0, time.Duration(s.closedUntil.Load())-now),
-			ColdFor: max(0, time.Duration(s.coldUntil.Load())-now),
+			OwnedSlots: int(s.ownedSlots.Load()),
+			ColdFor:    max(0, time.Duration(s.coldUntil.Load())-now),
 		})
 	}
 	slices.SortFunc(list, func(a, b TargetView) int { return strings.Compare(string(a.Target.ID), string(b.Target.ID)) })
@@ -270,31 +287,31 @@
 	avoidAbove := s.avoidThreshold(now, attempt.IsRetryable, c.floor())
 	serviceTime := time.Duration(math.Float64frombits(s.serviceTime.Load()) * float64(time.Second))
 	averageUse := math.Float64frombits(s.averageUse.Load())
-	asked := s.askedFor(now, attempt)
+	asked, hasSafe := s.askedFor(now, attempt), s.hasRetryable(now)
 	lowest := time.Duration(math.MaxInt64)
 	var random rand.PCG
 	random.Seed(c.seed, c.choices.Add(1))
+	even := c.even.Load()
 	reach, departure := c.reachOf(attempt.Homes), c.newDeparture(&random)
+	isSpread := attempt.IsRetryable || random.Uint64()%spreadInterval == 0
 	for _, candidate := range s.states {
 		if candidate.isClosed(now) || !reach.includes(candidate) || slices.Contains(attempt.Tried, candidate.target.ID) || candidate.lacksCredit(now, &attempt) {
 			continue
 		}
-		input := c.costInput(now, candidate, serviceTime, averageUse)
-		if input.LogOdds <= avoidAbove {
-			input.LogOdds = min(input.LogOdds, healthyLogOdds)
-		}
+		input := c.costInput(now, candidate, serviceTime, even.averageUse(now, candidate, averageUse))
 		input.IsRetryable, input.Bytes = attempt.IsRetryable, attempt.Bytes
-		cost := Cost(input)
+		input.tolerate(avoidAbove, isSpread)
+		cost := Cost(input) + even.cost(now, candidate, &input)
 		if IsTrialDue(input, now-time.Duration(candidate.chosenAt.Load()), int(c.placeVMs.Load())) {
 			cost = -maxJitter
 		}
-		if candidate.target.ID == asked && mayUseAsked(input) {
+		if candidate.target.ID == asked && mayUseAsked(input, hasSafe) {
 			cost = -2 * maxJitter
 		}
 		cost += departure.cost(now, candidate)
 		if jittered := cost + time.Duration(random.Uint64()%uint64(maxJitter)); jittered < lowest {
 			lowest = jittered
-			pick = Pick{Target: &candidate.target, Cost: cost, Wait: Wait(input), Distance: input.Distance, LogOdds: input.LogOdds, state: candidate}
+			pick = Pick{Target: &candidate.target, Cost: cost, Wait: Wait(input), Distance: input.Distance, LogOdds: input.LogOdds, Slot: slotKind(candidate, &input), state: candidate}
 		}
 	}
 	if pick.state == nil {
@@ -322,12 +339,19 @@
 		s.lastSafeAt.Store(int64(max(1, now)))
 		return s.safeThreshold.current(now, s, floor)
 	}
-	if at := time.Duration(s.lastSafeAt.Load()); at != 0 && now-at < safeWindow {
+	if s.hasRetryable(now) {
 		floor = min(floor, unsafeFloor)
 	}
 	return s.unsafeThreshold.current(now, s, floor)
 }
 
+// hasRetryable reports whether this VM had a retryable request of the service within
+// safeWindow. Such requests keep suspects in use.
+func (s *service) hasRetryable(now time.Duration) bool {
+	at := time.Duration(s.lastSafeAt.Load())
+	return at != 0 && now-at < safeWindow
+}
+
 // current returns the threshold of s, recomputed after thresholdInterval.
 func (t *threshold) current(now time.Duration, s *service, floor float64) float64 {
 	if at := time.Duration(t.computedAt.Load()); at != 0 && now-at < thresholdInterval {
@@ -350,11 +374,13 @@
 func (c *Chooser) costInput(now time.Duration, s *targetState, serviceTime time.Duration, averageUse float64) CostInput {
 	age := now - time.Duration(s.reportedAt.Load())
 	slots := s.slots()
+	others, spread := estimateOtherRequests(math.Float64frombits(s.otherRequests.Load()), age, averageUse, s.slotsOfOthers(slots))
 	return CostInput{
 		Distance:      c.regions.Distance(c.place, s.target.Place),
 		Slots:         slots,
 		OwnRequests:   int(s.ownRequests.Load()),
-		OtherRequests: estimateOtherRequests(math.Float64frombits(s.otherRequests.Load()), age, averageUse, slots),
+		OtherRequests: others,
+		Spread:        spread,
 		ServiceTime:   serviceTime,
 		Cold:          s.isCold(now),
 		LogOdds:       s.logOdds(now),
@@ -399,20 +425,23 @@
 		pick.state.otherRequests.Store(math.Float64bits(others))
 		pick.state.reportedAt.Store(int64(now))
 		pick.state.reportedSlots.Store(int32(min(math.MaxInt32, max(0, report.Load.Slots))))
-		c.updateAverages(pick, report, others)
+		c.updateAverages(now, pick, report, others)
 	}
 	return evidence
 }
 
 // updateAverages updates the service's averages. Concurrent calls may lose an
 // update, which does no harm.
-func (c *Chooser) updateAverages(pick Pick, report Report, others float64) {
+func (c *Chooser) updateAverages(now time.Duration, pick Pick, report Report, others float64) {
 	s := c.table.Load().services[pick.Target.Service]
 	if s == nil {
 		return
 	}
 	averageUse := math.Float64frombits(s.averageUse.Load())
-	s.averageUse.Store(math.Float64bits(averageUse + averageUseWeight*(others/float64(max(1, pick.state.slots()))-averageUse)))
+	if slots := pick.state.slotsOfOthers(max(1, pick.state.slots())); slots > 0 {
+		s.averageUse.Store(math.Float64bits(averageUse + averageUseWeight*(others/float64(slots)-averageUse)))
+		pick.state.use.add(now, others/float64(slots))
+	}
 	if report.Took <= 0 || report.Verdict != ferry.VerdictGood {
 		return
 	}
--- a/place/cost.go
+++ b/place/cost.go
@@ -20,6 +20,9 @@
 	// wait of this length makes as many responses late as the failure loses.
 	costSafeFailure   = 200 * time.Millisecond
 	costUnsafeFailure = 1600 * time.Millisecond
+	// costToleratedFailure replaces costUnsafeFailure at targets that the floor keeps in
+	// use: with more, healthier targets would be full before those get any request.
+	costToleratedFailure = 500 * time.Millisecond
 	// negligibleProbability is the highest probability of being unhealthy that
 	// adds no cost: lower ones are within the error of the estimate.
 	negligibleProbability = 0.06
@@ -45,6 +48,8 @@
 	OwnRequests int
 	// OtherRequests is the estimated number of other VMs' requests on the target.
 	OtherRequests float64
+	// Spread is the part of OtherRequests that is an average, not a report.
+	Spread float64
 	// ServiceTime is the average service time of a request, or zero without one.
 	ServiceTime time.Duration
 	Cold        bool
@@ -52,6 +57,22 @@
 	LogOdds float64
 	// IsRetryable reports that the request may be sent again after a failure.
 	IsRetryable bool
+	// IsTolerated reports that the target is among those that the floor keeps in use,
+	// whatever its log odds.
+	IsTolerated bool
+}
+
+// tolerate applies the threshold above which requests avoid targets. A request that is
+// spread uses the targets below it like healthy ones, since the floor counts on them. The
+// others prefer healthier ones as long as those have room.
+func (c *CostInput) tolerate(avoidAbove float64, isSpread bool) {
+	if c.LogOdds > avoidAbove {
+		return
+	}
+	c.IsTolerated = true
+	if isSpread {
+		c.LogOdds = min(c.LogOdds, healthyLogOdds)
+	}
 }
 
 // load returns the number of requests on the target and that of its slots.
@@ -93,8 +114,11 @@
 	case ferry.SamePlace, ferry.DistanceCount:
 	}
 	failure := costUnsafeFailure
-	if input.IsRetryable {
+	switch {
+	case input.IsRetryable:
 		failure = costSafeFailure
+	case input.IsTolerated:
+		failure = costToleratedFailure
 	}
 	cost += max(0, Probability(input.LogOdds)-negligibleProbability) * float64(failure)
 	return time.Duration(cost)
@@ -106,8 +130,10 @@
 }
 
 // estimateOtherRequests estimates the other VMs' requests on a target from a
-// report of the given age and the average fraction of slots that they use.
-func estimateOtherRequests(reported float64, age time.Duration, averageUse float64, slots int) float64 {
+// report of the given age and the average fraction of slots that they use. average is the
+// part that the average contributes.
+func estimateOtherRequests(reported float64, age time.Duration, averageUse float64, slots int) (requests, average float64) {
 	weight := math.Exp(-age.Seconds() / reportDecay.Seconds())
-	return weight*reported + (1-weight)*averageUse*float64(slots)
+	average = (1 - weight) * averageUse * float64(slots)
+	return weight*reported + average, average
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/room"
 )
 
 // Metrics counts the decisions of the request path. Its labels have a bounded
@@ -31,7 +32,10 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`ferry_request_duration_seconds{kind=%q}`, kindLabel(route))).Update(took.Seconds())
 }
 
-func (m *Metrics) countAttempt(route *ferry.Route, distance ferry.Distance, a *attempt, took time.Duration) {
+func (m *Metrics) countAttempt(route *ferry.Route, a *attempt, took time.Duration) {
+	distance := a.pick.Distance
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_slot_picks_total{slot=%q,place=%q}`, a.pick.Slot, a.pick.Target.Place)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_connections_total{reused="%t"}`, a.isReused)).Inc()
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_attempts_total{kind=%q,distance=%q,verdict=%q,outcome=%q}`,
 		kindLabel(route), distance, a.verdict, a.outcome)).Inc()
 	if a.verdict == ferry.VerdictGood {
@@ -45,6 +49,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_notices_total{kind=%q}`, kind)).Inc()
 }
 
+// countFirstWait counts a request that waited for the first configuration of the process.
+func (m *Metrics) countFirstWait(isInForce bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_first_configuration_waits_total{inForce="%t"}`, isInForce)).Inc()
+}
+
 func (m *Metrics) countRefusal(route *ferry.Route, refusal *ferry.RefusalError) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_refusals_total{kind=%q,reason=%q,outcome=%q}`,
 		kindLabel(route), refusal.Reason, refusal.Outcome)).Inc()
@@ -53,3 +62,22 @@
 func (m *Metrics) countAborted(route *ferry.Route) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_aborted_total{kind=%q}`, kindLabel(route))).Inc()
 }
+
+// addRoom registers the gauges of a service's room. Services are as many as the
+// configuration has.
+func (m *Metrics) addRoom(service ferry.ServiceID, status func() room.Status) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`ferry_room_queue_length{service=%q}`, service), func() float64 { return float64(status().Queued) })
+	m.set.GetOrCreateGauge(fmt.Sprintf(`ferry_room_limit{service=%q}`, service), func() float64 { return status().Limit })
+}
+
+func (m *Metrics) countRoomRefusal(service ferry.ServiceID, rank int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_room_refusals_total{service=%q,rank="%d"}`, service, rank)).Inc()
+}
+
+func (m *Metrics) observeRoomWait(service ferry.ServiceID, waited time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`ferry_room_wait_seconds{service=%q}`, service)).Update(waited.Seconds())
+}
+
+func (m *Metrics) countRoomLineDropped() {
+	m.set.GetOrCreateCounter(`ferry_room_lines_dropped_total`).Inc()
+}
