relay: streams leave no garbage; one run of SentTooLarge reached 96 MB

Cause: each piece of a streamed body was framed in a new buffer of 16 KB, each stream copied with another, and a response of known length grew by doubling, so that garbage came faster than a collector with half a processor collects; what is live was within the budget. Change: buffers of streams come from a pool, pieces are framed in one of them, a response of known length is read into its size.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"monsoonferry.org/ferry"
@@ -193,16 +194,19 @@
 
 // writeRest sends the unsent part of a body that isn't wholly buffered.
 func (f *Forwarder) writeRest(connection *conn, body *payload) error {
+	copied, framed := getChunk(), getChunk()
+	defer putChunk(copied)
+	defer putChunk(framed)
 	var target io.Writer = connection
 	if body.length < 0 {
-		target = &chunkWriter{target: connection}
+		target = &chunkWriter{target: connection, framed: *framed}
 	}
 	if len(body.buffered) > chunkSize || body.length < 0 {
 		if _, err := target.Write(body.buffered); err != nil {
 			return err
 		}
 	}
-	if _, err := io.CopyBuffer(target, body.rest, make([]byte, chunkSize)); err != nil {
+	if _, err := io.CopyBuffer(target, body.rest, (*copied)[:chunkSize]); err != nil {
 		if body.rest.hasFailed() {
 			discard(connection)
 		}
@@ -216,22 +220,41 @@
 	return nil
 }
 
-// chunkWriter writes a body in the chunked transfer coding.
-type chunkWriter struct{ target io.Writer }
+// maxChunkFrame is the size of what encloses one chunk, in bytes.
+const maxChunkFrame = 32
+
+// chunks holds buffers for streamed bodies: a new one for every piece would leave
+// garbage faster than it is collected on a VM with little memory.
+var chunks = sync.Pool{New: func() any { return new(make([]byte, chunkSize+maxChunkFrame)) }}
+
+func getChunk() *[]byte {
+	buffer, ok := chunks.Get().(*[]byte)
+	if !ok {
+		return new(make([]byte, chunkSize+maxChunkFrame))
+	}
+	return buffer
+}
+
+func putChunk(buffer *[]byte) { chunks.Put(buffer) }
+
+// chunkWriter writes a body in the chunked transfer coding. framed is its buffer.
+type chunkWriter struct {
+	target io.Writer
+	framed []byte
+}
 
 // Write implements io.Writer.
-func (w *chunkWriter) Write(p []byte) (int, error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	framed := make([]byte, 0, len(p)+16)
-	framed = fmt.Appendf(framed, "%x\r\n", len(p))
-	framed = append(framed, p...)
-	framed = append(framed, '\r', '\n')
-	if _, err := w.target.Write(framed); err != nil {
-		return 0, err
-	}
-	return len(p), nil
+func (w *chunkWriter) Write(p []byte) (written int, err error) {
+	for len(p) > written && err == nil {
+		piece := p[written:min(len(p), written+chunkSize)]
+		framed := fmt.Appendf(w.framed[:0], "%x\r\n", len(piece))
+		framed = append(framed, piece...)
+		framed = append(framed, '\r', '\n')
+		if _, err = w.target.Write(framed); err == nil {
+			written += len(piece)
+		}
+	}
+	return written, err
 }
 
 // requestHead encodes the request line and the header for the target.
@@ -412,6 +435,11 @@
 		_, err = io.ReadFull(body, buffered)
 		return buffered, nil, err
 	}
+	if length > 0 {
+		buffered = make([]byte, size)
+		_, err = io.ReadFull(body, buffered)
+		return buffered, body, err
+	}
 	var buffer bytes.Buffer
 	_, err = io.CopyN(&buffer, body, size)
 	if errors.Is(err, io.EOF) {
--- a/relay/response.go
+++ b/relay/response.go
@@ -49,7 +49,9 @@
 	// A stream to a caller that has left ends at once, though no write may fail: a
 	// target may send slowly.
 	stop := context.AfterFunc(ctx, func() { a.response.release(false) })
-	_, err := io.CopyBuffer(writer, a.response.rest, make([]byte, chunkSize))
+	copied := getChunk()
+	defer putChunk(copied)
+	_, err := io.CopyBuffer(writer, a.response.rest, (*copied)[:chunkSize])
 	hasStopped := stop()
 	a.response.release(err == nil && hasStopped)
 	return trace.Wrap(err, "answer")
