--- a/place/floor.go
+++ b/place/floor.go
@@ -13,8 +13,10 @@
 	// spreadInterval is the number of requests that can't be sent again of which one is
 	// spread over all targets within the floor, as all retryable requests are.
 	spreadInterval = 6
-	// evenLogOdds are the log odds of a target that is as likely healthy as not.
-	evenLogOdds = 0.0
+	// recoveredLogOdds are log odds from which a suspect is asked for as a recovered
+	// target: some five seconds after a missing response. Sooner, one in four of its
+	// requests gets no response either.
+	recoveredLogOdds = -2.0
 	// certainLogOdds are log odds above which requests avoid a target whatever the
 	// floor: four in five that it is unhealthy, as after two failures within two
 	// seconds anywhere in the fleet.
--- a/place/usage.go
+++ b/place/usage.go
@@ -70,12 +70,12 @@
 
 // mayUseAsked reports whether a request may go to the target asked for: at once, and
 // without a risk that other targets of the place don't have, unless it can be sent
-// again. Where the service has no retryable requests, a target that is as likely healthy
-// as not gets others too: nothing else would show that it has recovered.
+// again. Where the service has no retryable requests, a target that has probably
+// recovered gets others too: nothing else would show that it has.
 func mayUseAsked(input CostInput, hasRetryable bool) bool {
 	highest := healthyLogOdds
 	if !hasRetryable {
-		highest = evenLogOdds
+		highest = recoveredLogOdds
 	}
 	isSound := input.LogOdds <= highest && !input.Cold
 	return input.Distance == ferry.SamePlace && (input.IsRetryable || isSound) && Wait(input) == 0
