place: services of fewer than 60 targets use all within the floor alike, as before

Each suspect within the floor gets a sixth of the usual rate; of 13 targets chance leaves too many without any. Change: only services of 60 targets or more rank the targets within the floor.

--- a/place/chooser.go
+++ b/place/chooser.go
@@ -121,9 +121,9 @@
 // threshold holds, as bits, the log odds above which requests avoid targets.
 type threshold struct {
 	logOdds atomic.Uint64
-	// isMostlySuspect reports that half of the targets or more are suspects.
-	isMostlySuspect atomic.Bool
-	computedAt      atomic.Int64
+	// isRanked reports that the targets below the threshold are not used alike.
+	isRanked   atomic.Bool
+	computedAt atomic.Int64
 }
 
 // serviceTable is the set of services that Choose reads. It is immutable.
@@ -295,7 +295,7 @@
 	random.Seed(c.seed, c.choices.Add(1))
 	even := c.even.Load()
 	reach, departure := c.reachOf(attempt.Homes), c.newDeparture(&random)
-	isSpread := attempt.IsRetryable || s.unsafeThreshold.isMostlySuspect.Load() || random.Uint64()%spreadInterval == 0
+	isSpread := attempt.IsRetryable || !s.unsafeThreshold.isRanked.Load() || random.Uint64()%spreadInterval == 0
 	for _, candidate := range s.states {
 		if candidate.isClosed(now) || !reach.includes(candidate) || slices.Contains(attempt.Tried, candidate.target.ID) || candidate.lacksCredit(now, &attempt) {
 			continue
@@ -368,7 +368,7 @@
 	}
 	value := min(certainLogOdds, AvoidThreshold(logOdds, floor))
 	t.logOdds.Store(math.Float64bits(value))
-	t.isMostlySuspect.Store(len(logOdds) > 0 && AvoidThreshold(logOdds, 0.5) > recoveredLogOdds)
+	t.isRanked.Store(len(logOdds) >= minRankedTargets && AvoidThreshold(logOdds, maxSuspectShare) <= recoveredLogOdds)
 	t.computedAt.Store(int64(max(1, now)))
 	return value
 }
--- a/place/floor.go
+++ b/place/floor.go
@@ -13,6 +13,12 @@
 	// spreadInterval is the number of requests that can't be sent again of which one is
 	// spread over all targets within the floor, as all retryable requests are.
 	spreadInterval = 6
+	// minRankedTargets is the number of targets of a service from which those within the
+	// floor are not used alike: of fewer, chance alone may leave too many unused.
+	minRankedTargets = 60
+	// maxSuspectShare is the part of suspects up to which they are not used alike. With
+	// more, the service is late as a whole or paths to it are harmed.
+	maxSuspectShare = 0.5
 	// recoveredLogOdds are log odds from which a suspect is asked for as a recovered
 	// target: some five seconds after a missing response. Sooner, one in four of its
 	// requests gets no response either.
