relay, drain, node: log what becomes of each request while a VM stops

The hypotheses of docs/incidents/2026-12-06-lost.md can't be told apart by the logs: they have no line when a request is taken, nor when it is cut by the end of the grace period. New: one line 'request while stopping' for each request that arrives after the signal (decision=Arrived, with what its connection did before: kept, waited, header), for each send (Sent) and for each request that the end of the grace period cuts (Cut, with its stage and target), all with the request's id and what is left; counter ferry_stop_decisions_total. drain.Grace holds what is left of the grace period. No decision changes.

--- /dev/null
+++ b/drain/grace.go
@@ -0,0 +1,73 @@
+package drain
+
+import (
+	"sync/atomic"
+	"time"
+
+	"monsoonferry.org/ferry"
+)
+
+const (
+	// answerShare is the part of the grace period within which targets may answer. The
+	// rest is for the last responses, the end of the connections and the exit.
+	answerShare = 0.9
+	// likelyShare is the part of the grace period within which a request is sent because
+	// it will probably be answered. After it only the end of its own time counts.
+	likelyShare = 0.5
+	// usualFactor is how often the usual time of an answer has to fit in the rest of the
+	// grace period.
+	usualFactor = 1.5
+)
+
+// Need is the time for which a request occupies a target.
+type Need struct {
+	// Usual is the time within which nearly all answers come, Longest the time after
+	// which the caller no longer waits.
+	Usual, Longest time.Duration
+}
+
+// Grace tells requests what is left of the grace period of a planned stop. The zero
+// Grace, and nil, belong to a VM that does not stop. It is safe for concurrent use.
+type Grace struct {
+	stop atomic.Pointer[stop]
+}
+
+// stop is a planned stop in progress.
+type stop struct {
+	startedAt ferry.Moment
+	period    time.Duration
+}
+
+// Begin starts the grace period. Later calls have no effect.
+func (g *Grace) Begin(now ferry.Moment, period time.Duration) {
+	g.stop.CompareAndSwap(nil, &stop{startedAt: now, period: period})
+}
+
+// IsStopping reports whether the grace period has begun.
+func (g *Grace) IsStopping() bool { return g != nil && g.stop.Load() != nil }
+
+// Left returns the time within which a target can still answer. It is negative while the
+// last responses are written. isStopping is false before the grace period.
+func (g *Grace) Left(now ferry.Moment) (left time.Duration, isStopping bool) {
+	if !g.IsStopping() {
+		return 0, false
+	}
+	s := g.stop.Load()
+	return share(s.period, answerShare) - now.LongestSince(s.startedAt), true
+}
+
+// Admits reports whether a request may be sent to a target: always before a stop, in the
+// first half of the grace period if it will probably be answered in the rest, and later
+// if its own time ends before the grace period does.
+func (g *Grace) Admits(now ferry.Moment, need Need) bool {
+	left, isStopping := g.Left(now)
+	if !isStopping || need.Longest <= left {
+		return true
+	}
+	s := g.stop.Load()
+	return now.LongestSince(s.startedAt) < share(s.period, likelyShare) && time.Duration(usualFactor*float64(need.Usual)) <= left
+}
+
+func share(period time.Duration, part float64) time.Duration {
+	return time.Duration(part * float64(period))
+}
--- /dev/null
+++ b/drain/grace_test.go
@@ -0,0 +1,54 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry"
+)
+
+func momentAt(at time.Duration) ferry.Moment { return ferry.Moment{Monotonic: at, Wall: at} }
+
+func TestGraceAdmitsOnlyWhatCanBeAnswered(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var none *Grace
+	is.True(none.Admits(momentAt(0), Need{Usual: time.Hour, Longest: time.Hour}))
+	var g Grace
+	is.True(g.Admits(momentAt(0), Need{Usual: time.Hour, Longest: time.Hour}))
+	g.Begin(momentAt(10*time.Second), 6*time.Second)
+	g.Begin(momentAt(12*time.Second), time.Hour) // without effect
+	for _, c := range []struct {
+		after, usual, longest time.Duration
+		isAdmitted            bool
+	}{
+		{0, time.Second, 12 * time.Second, true},
+		{0, 3700 * time.Millisecond, 12 * time.Second, false},
+		{2 * time.Second, 2200 * time.Millisecond, 12 * time.Second, true},
+		{2 * time.Second, 2300 * time.Millisecond, 12 * time.Second, false},
+		{2900 * time.Millisecond, time.Second, 12 * time.Second, true},
+		// In the second half, the request has to end by itself before the end.
+		{3 * time.Second, time.Millisecond, 12 * time.Second, false},
+		{3 * time.Second, time.Second, 2400 * time.Millisecond, true},
+		{4 * time.Second, time.Second, 1400 * time.Millisecond, true},
+		{4 * time.Second, time.Second, 1500 * time.Millisecond, false},
+		{5400 * time.Millisecond, 0, time.Millisecond, false},
+	} {
+		got := g.Admits(momentAt(10*time.Second+c.after), Need{Usual: c.usual, Longest: c.longest})
+		if got != c.isAdmitted {
+			t.Errorf("%v after the signal, usual %v, longest %v: admitted %v", c.after, c.usual, c.longest, got)
+		}
+	}
+}
+
+func TestGraceCountsTheSuspensionOfTheVM(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var g Grace
+	g.Begin(momentAt(0), 6*time.Second)
+	left, isStopping := g.Left(ferry.Moment{Monotonic: time.Second, Wall: 4 * time.Second})
+	is.True(isStopping)
+	is.Equal(left, 1400*time.Millisecond)
+}
--- a/drain/listener.go
+++ b/drain/listener.go
@@ -71,6 +71,8 @@
 	waitsSince, partAt, readAt atomic.Int64
 	// isActive reports that a request is being handled.
 	isActive atomic.Bool
+	// requests counts the requests whose header was read.
+	requests atomic.Int64
 	// isClosed reports that Close was called.
 	isClosed atomic.Bool
 	// isReceiving reports that the body of a request is read that no target has got.
@@ -193,6 +195,9 @@
 		c.waitsSince.Store(int64(time.Since(l.started)))
 	}
 	c.isActive.Store(state == http.StateActive)
+	if state == http.StateActive {
+		c.requests.Add(1)
+	}
 	// Whatever was read of a header is complete, or given up.
 	l.headerBytes.Add(-c.headerBytes.Swap(0))
 	if state == http.StateClosed || state == http.StateHijacked {
--- a/node/drain.go
+++ b/node/drain.go
@@ -24,6 +24,7 @@
 func (n *Node) Drain() {
 	n.drainOnce.Do(func() {
 		n.leaving.Store(true)
+		n.grace.Begin(n.clock.Now(), n.state.bounds.Load().GracePeriod)
 		n.server.Close()
 		n.log.Info("drain started", "inFlight", n.server.InFlight())
 		close(n.drainStarted)
@@ -55,6 +56,7 @@
 		select {
 		case <-ctx.Done():
 			n.log.Warn("drain ended by the grace period", "open", open, "inFlight", n.server.InFlight())
+			n.server.LogCut()
 			return
 		case <-ticker.C:
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -73,6 +73,7 @@
 	budgets       *relay.RetryBudgets
 	pool          *relay.Pool
 	server        *relay.Server
+	grace         drain.Grace
 	forwarder     *relay.Forwarder
 	limiter       *tokenLimiter
 	callerServer  *http.Server
@@ -148,9 +149,11 @@
 	counters := relay.NewMetrics(n.metrics)
 	n.forwarder = relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
 	n.forwarder.SetLowerRankShare(settings.LowerRankShare)
+	n.forwarder.SetGrace(&n.grace)
 	chain := ferry.Chain(n.forwarder,
 		relay.RouteFilter{Freshness: n.state}, relay.AccountFilter{Freshness: n.state}, relay.BodyFilter{Bytes: n.bodies}, relay.AllowanceFilter{Limiter: n.limiter})
 	n.server = relay.NewServer(chain, n.state, dependencies.Dialect, dependencies.Clock, dependencies.Log, counters)
+	n.server.SetGrace(&n.grace)
 	self := lead.VM{
 		Peers: settings.Peers, Incarnation: uint64(time.Now().UnixNano()), Place: settings.Place,
 		Callers: settings.Callers, ControlPort: settings.Control.Port(), Millicores: settings.Millicores,
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/place"
 	"monsoonferry.org/ferry/room"
 )
@@ -50,6 +51,9 @@
 	latencies latencies
 	splitter  serviceSplitter
 	rooms     rooms
+	// grace is the grace period of the VM, or nil.
+	grace   *drain.Grace
+	stopLog stopLog
 }
 
 // NewForwarder returns a Forwarder.
@@ -59,10 +63,14 @@
 ) *Forwarder {
 	return &Forwarder{
 		clock: clock, dialect: dialect, chooser: chooser, budgets: budgets, pool: pool,
-		guard: guard, reporter: reporter, log: log, metrics: metrics,
+		guard: guard, reporter: reporter, log: log, metrics: metrics, stopLog: stopLog{log: log, metrics: metrics},
 	}
 }
 
+// SetGrace sets the grace period of planned stops. It must be called before the first
+// request; without it, the VM never stops.
+func (f *Forwarder) SetGrace(grace *drain.Grace) { f.grace = grace }
+
 // deadline returns the monotonic time by which the caller gets a response.
 func (f *Forwarder) deadline(exchange *ferry.Exchange) time.Duration {
 	return exchange.Arrived.Monotonic + timeLimit(exchange)
@@ -206,6 +214,11 @@
 	if !ok {
 		return f.refuseWithoutTarget(now, r, wanted)
 	}
+	p := passageOf(ctx)
+	p.send(pick.Target)
+	if left, isStopping := f.grace.Left(moment); isStopping {
+		f.stopLog.write(ctx, stopSent, left, p, moment)
+	}
 	r.tried = append(r.tried, pick.Target.ID)
 	r.inFlight++
 	pending := &pendingAttempt{pick: pick, sentAt: now}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -49,6 +49,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_notices_total{kind=%q}`, kind)).Inc()
 }
 
+// countStopDecision counts a decision about a request while the VM stops.
+func (m *Metrics) countStopDecision(decision string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_stop_decisions_total{decision=%q}`, decision)).Inc()
+}
+
 // countFirstWait counts a request that waited for the first configuration of the process.
 func (m *Metrics) countFirstWait(isInForce bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_first_configuration_waits_total{inForce="%t"}`, isInForce)).Inc()
--- a/relay/response.go
+++ b/relay/response.go
@@ -22,6 +22,7 @@
 		return f.refuse(r, http.StatusBadGateway, ferry.ReasonTargetFailed, 0, "the target failed with status "+strconv.Itoa(status))
 	}
 	r.exchange.Status = status
+	passageOf(ctx).enter(stageAnswered)
 	writer := r.exchange.Writer
 	header := writer.Header()
 	perConnection := connectionFields(a.response.header)
--- a/relay/server.go
+++ b/relay/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 )
 
 // Snapshots gives the configuration in force, or nil before the first.
@@ -43,13 +44,33 @@
 	inFlight atomic.Int64
 	// firstWaiting is the number of requests that wait for the first configuration.
 	firstWaiting atomic.Int64
+	// grace is the grace period of the VM, or nil, and passages the requests in progress.
+	grace    *drain.Grace
+	passages passages
+	stopLog  stopLog
 }
 
 // NewServer returns a handler that passes requests through the chain.
 func NewServer(
 	chain ferry.Handler, snapshots Snapshots, dialect ferry.Dialect, clock ferry.Clock, log *slog.Logger, metrics *Metrics,
 ) *Server {
-	return &Server{chain: chain, snapshots: snapshots, dialect: dialect, clock: clock, log: log, metrics: metrics}
+	return &Server{
+		chain: chain, snapshots: snapshots, dialect: dialect, clock: clock, log: log, metrics: metrics,
+		stopLog: stopLog{log: log, metrics: metrics},
+	}
+}
+
+// SetGrace sets the grace period of planned stops. It must be called before the first
+// request; without it, the VM never stops.
+func (s *Server) SetGrace(grace *drain.Grace) { s.grace = grace }
+
+// LogCut logs the requests in progress when the grace period ends.
+func (s *Server) LogCut() {
+	now := s.clock.Now()
+	left, _ := s.grace.Left(now)
+	for _, p := range s.passages.list() {
+		s.stopLog.write(context.Background(), stopCut, left, p, now)
+	}
 }
 
 // Close asks callers to close their connections with each response from now on.
@@ -67,10 +88,17 @@
 		Snapshot: s.snapshots.Snapshot(), Metadata: s.dialect.ReadRequest(request.Header),
 	}
 	exchange.ID = exchange.Metadata.ID
+	p := &passage{id: exchange.ID, arrived: exchange.Arrived}
+	s.passages.add(p)
+	defer s.passages.remove(p)
+	ctx := context.WithValue(request.Context(), passageKey{}, p)
+	if left, isStopping := s.grace.Left(exchange.Arrived); isStopping {
+		s.stopLog.write(ctx, stopArrived, left, p, exchange.Arrived, originAttributes(drain.OriginOf(ctx))...)
+	}
 	if s.closing.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	err := s.handle(request.Context(), exchange)
+	err := s.handle(ctx, exchange)
 	took := s.clock.Now().Since(exchange.Arrived)
 	if err == nil {
 		s.metrics.countRequest(exchange.Route, exchange.Status, took)
