drain: a stop closes the listener only when its backlog is empty

Cause: Accept gives the backlog 1 ms by a deadline; when its goroutine is held up for longer, package net returns the timeout without a look at the backlog, and the close resets what is in it. Why the fix works: after a timeout the kernel is asked whether a connection waits; only an empty backlog ends the listener.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -158,7 +158,7 @@
 			}
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case isStopping:
+		case isStopping && !hasBacklog(l.TCPListener):
 			if err = l.Close(); err != nil {
 				return nil, err
 			}
@@ -167,6 +167,20 @@
 	}
 }
 
+// hasBacklog reports whether a connection waits to be accepted. A call of Accept that is
+// held up until its deadline returns without a look at the backlog.
+func hasBacklog(listener *net.TCPListener) bool {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(descriptor uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
+}
+
 // track keeps a new connection until SetState reports its end. It returns nil when the
 // connection was closed for want of room.
 func (l *Listener) track(accepted *net.TCPConn) *connection {
--- a/drain/listener_test.go
+++ b/drain/listener_test.go
@@ -266,3 +266,49 @@
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
 }
+
+// A stop accepts what is in the backlog also when Accept is held up until its deadline.
+func TestBacklogIsNotResetByStop(t *testing.T) {
+	t.Parallel()
+	for range 40 {
+		testBacklogIsNotReset(t)
+	}
+}
+
+func testBacklogIsNotReset(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	tcp, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	listener := NewListener(tcp)
+	const callers = 10
+	for range callers {
+		conn, dialErr := net.Dial("tcp4", listener.Addr().String())
+		is.NoErr(dialErr)
+		defer func() { _ = conn.Close() }()
+	}
+	is.NoErr(listener.StopAccepting())
+	// Deadlines that are over before package net looks at the backlog.
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				_ = listener.TCPListener.SetDeadline(time.Unix(1, 0))
+			}
+		})
+	}
+	time.AfterFunc(20*time.Millisecond, cancel)
+	accepted := 0
+	for {
+		conn, acceptErr := listener.Accept()
+		if acceptErr != nil {
+			break
+		}
+		accepted++
+		_ = conn.Close()
+	}
+	cancel()
+	group.Wait()
+	is.Equal(accepted, callers)
+}
