relay: a caller that breaks its body off is no evidence, also while its request ends

Cause, by reading: whether the body was broken off was asked with TryLock of its mutex, which the end of the request holds at the same moment; a lock held by somebody else counted as 'not broken'. Evidence: TestBrokenBodyIsSeenBesideTheEndOfItsRequest fails without this change and passes with it. Change: an atomic flag that needs no lock.

--- a/relay/body.go
+++ b/relay/body.go
@@ -133,9 +133,9 @@
 // since a request whose body isn't wholly buffered is sent to one target only.
 type bodyRest struct {
 	source io.Reader
-	// isStarted reports that an attempt reads the body, and isWhole that it has read
-	// all of it.
-	isStarted, isWhole atomic.Bool
+	// isStarted reports that an attempt reads the body, isWhole that it has read all of
+	// it, and isFailed that reads fail from now on.
+	isStarted, isWhole, isFailed atomic.Bool
 
 	// mu is held while source is read.
 	mu  sync.Mutex
@@ -157,6 +157,7 @@
 	n, err := r.source.Read(p)
 	r.err = err
 	r.isWhole.Store(errors.Is(err, io.EOF))
+	r.isFailed.Store(err != nil && !errors.Is(err, io.EOF))
 	return n, err
 }
 
@@ -171,13 +172,7 @@
 func (r *bodyRest) isIncomplete() bool { return r != nil && !r.isWhole.Load() }
 
 // isBroken reports whether a read has failed, without a wait for one in progress.
-func (r *bodyRest) isBroken() bool {
-	if r == nil || !r.mu.TryLock() {
-		return false
-	}
-	defer r.mu.Unlock()
-	return r.err != nil && !errors.Is(r.err, io.EOF)
-}
+func (r *bodyRest) isBroken() bool { return r != nil && r.isFailed.Load() }
 
 // end makes further reads fail and returns when none is in progress. If an attempt has
 // begun to read the body and hasn't read it whole, interrupt is called: it has to end a
@@ -191,6 +186,7 @@
 	defer r.mu.Unlock()
 	if r.err == nil {
 		r.err = errBodyEnded
+		r.isFailed.Store(true)
 	}
 	if r.isBeingRead() && !isInterrupted {
 		interrupt()
--- a/relay/receive_test.go
+++ b/relay/receive_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -227,3 +228,16 @@
 	is.Equal(nextBuffer(64<<10, 100<<10), int64(100<<10))
 	is.Equal(nextBuffer(100<<10, 100<<10), int64(100<<10))
 }
+
+// The end of a request holds the body while its attempt looks why the target failed.
+func TestBrokenBodyIsSeenBesideTheEndOfItsRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	rest := &bodyRest{source: iotest.ErrReader(io.ErrUnexpectedEOF)}
+	_, err := rest.Read(make([]byte, 1))
+	is.Equal(err, io.ErrUnexpectedEOF)
+	rest.end(func() { is.True(rest.isBroken()) })
+	rest.mu.Lock()
+	defer rest.mu.Unlock()
+	is.True(rest.isBroken())
+}
