drain: nothing is between the last look at the backlog and its end

Cause, by reading: between the look and the close the goroutine may be held up, and connections that are opened meanwhile are reset. Change: the look and the shutdown of the listener are two calls in a row without the scheduler between them.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -160,7 +160,7 @@
 			}
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case isStopping && !hasBacklog(l.TCPListener):
+		case isStopping && endBacklog(l.TCPListener):
 			if err = l.Close(); err != nil {
 				return nil, err
 			}
@@ -170,18 +170,24 @@
 	}
 }
 
-// hasBacklog reports whether a connection waits to be accepted. A call of Accept that is
-// held up until its deadline returns without a look at the backlog.
-func hasBacklog(listener *net.TCPListener) bool {
+// endBacklog makes a listener refuse connections unless one waits to be accepted. A call
+// of Accept that is held up until its deadline returns without a look at the backlog. A
+// connection that is opened between the look and the end is reset, so nothing is between
+// the two that package runtime may hold up.
+func endBacklog(listener *net.TCPListener) (isEnded bool) {
 	raw, err := listener.SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
-	ready := 0
 	err = raw.Control(func(descriptor uintptr) {
-		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+		ready, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+		isEnded = pollErr != nil || ready == 0
+		if isEnded {
+			// The listener is closed next: an error changes nothing.
+			_ = unix.Shutdown(int(descriptor), unix.SHUT_RDWR)
+		}
 	})
-	return err == nil && ready > 0
+	return isEnded || err != nil
 }
 
 // track keeps a new connection until SetState reports its end. It returns nil when the
