--- a/drain/grace.go
+++ b/drain/grace.go
@@ -17,6 +17,9 @@
 	// usualFactor is how often the usual time of an answer has to fit in the rest of the
 	// grace period.
 	usualFactor = 1.5
+	// returnTime is the part of the rest of a grace period that the response of a target
+	// needs for its way back.
+	returnTime = 100 * time.Millisecond
 )
 
 // Need is the time for which a request occupies a target.
@@ -66,6 +69,15 @@
 	return share(s.period, answerShare) - now.LongestSince(s.startedAt), true
 }
 
+// TargetTime returns how long a target may work on a request that has the given time: no
+// longer than its response can still be delivered.
+func (g *Grace) TargetTime(now ferry.Moment, remaining time.Duration) time.Duration {
+	if left, isStopping := g.Left(now); isStopping {
+		return min(remaining, left-returnTime)
+	}
+	return remaining
+}
+
 // Admits reports whether a request may be sent to a target: always before a stop, in the
 // first half of the grace period if it will probably be answered in the rest, and later
 // if its own time ends before the grace period does.
--- a/drain/origin.go
+++ b/drain/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 )
 
@@ -26,3 +27,8 @@
 		Header: time.Since(c.started) - max(partAt, waitsSince),
 	}
 }
+
+// attributes describes the origin in the log.
+func (o Origin) attributes() []slog.Attr {
+	return []slog.Attr{slog.Bool("kept", o.IsKept), slog.Duration("waited", o.Waited), slog.Duration("header", o.Header)}
+}
--- /dev/null
+++ b/drain/passage.go
@@ -0,0 +1,266 @@
+package drain
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonferry.org/ferry"
+)
+
+// stopRetryAfter is the RetryAfter of a request that another VM can serve at once.
+const stopRetryAfter = 20 * time.Millisecond
+
+// errStopping is the cause with which a planned stop ends a request.
+var errStopping = errors.New("the VM stops")
+
+// IsEnded reports whether a planned stop has ended the request of ctx.
+func IsEnded(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
+
+// Refusal is the refusal of a request that no target has got. Other VMs serve it.
+func Refusal() *ferry.RefusalError {
+	return &ferry.RefusalError{
+		Status: http.StatusServiceUnavailable, Reason: ferry.ReasonStopping, Outcome: ferry.OutcomeNotRun,
+		RetryAfter: stopRetryAfter, Detail: "the VM stops before the request could be answered",
+	}
+}
+
+// IsRefusal reports whether err is a Refusal.
+func IsRefusal(err error) bool {
+	var refusal *ferry.RefusalError
+	return errors.As(err, &refusal) && refusal.Reason == ferry.ReasonStopping && refusal.Outcome == ferry.OutcomeNotRun
+}
+
+// Stage is how far a request in progress has come.
+type Stage int32
+
+// Stages of a request.
+const (
+	// StageWaiting is a request that no target has got.
+	StageWaiting Stage = iota
+	// StageSent is one that a target may run.
+	StageSent
+	// StageAnswered is one whose response to the caller has begun.
+	StageAnswered
+)
+
+// String returns the name of the stage in logs and metrics.
+func (s Stage) String() string { return [...]string{"Waiting", "Sent", "Answered"}[s] }
+
+// Passage is a request in progress as a planned stop sees it.
+type Passage struct {
+	id      string
+	arrived ferry.Moment
+	stage   atomic.Int32
+	// target is the one that got the request last, or nil.
+	target atomic.Pointer[ferry.Target]
+	// demand is what the request needs of the rest of a grace period, nil until its route
+	// is known.
+	demand atomic.Pointer[Demand]
+	// end cancels the context of the request, with a cause. isEnded reports that a planned
+	// stop has called it.
+	end     context.CancelCauseFunc
+	isEnded atomic.Bool
+}
+
+// Demand is what a request needs of the rest of a grace period.
+type Demand struct {
+	// Usual is the time within which targets answer nearly all requests of the route,
+	// Deadline the monotonic time at which the caller stops to wait.
+	Usual, Deadline time.Duration
+}
+
+// At returns the need of the request at a moment.
+func (d *Demand) At(now ferry.Moment) Need {
+	if d == nil {
+		return Need{}
+	}
+	return Need{Usual: d.Usual, Longest: d.Deadline - now.Monotonic}
+}
+
+// passageKey is the context key of a request's passage.
+type passageKey struct{}
+
+// PassageOf returns the passage of a request, or one that nobody sees.
+func PassageOf(ctx context.Context) *Passage {
+	if p, ok := ctx.Value(passageKey{}).(*Passage); ok {
+		return p
+	}
+	return &Passage{}
+}
+
+// Enter notes how far the request has come.
+func (p *Passage) Enter(s Stage) { p.stage.Store(int32(s)) }
+
+// SetDemand notes what the request needs of the rest of a grace period.
+func (p *Passage) SetDemand(d *Demand) { p.demand.Store(d) }
+
+// Send notes that a target gets the request.
+func (p *Passage) Send(target *ferry.Target) {
+	p.target.Store(target)
+	p.Enter(StageSent)
+}
+
+// Result returns the result of a request that ended with err, if a planned stop has
+// ended it. Where it waited, what it waited for is not why it ends.
+func (p *Passage) Result(ctx context.Context, err error) error {
+	var refusal *ferry.RefusalError
+	isNotRun := Stage(p.stage.Load()) == StageWaiting || errors.As(err, &refusal) && refusal.Outcome == ferry.OutcomeNotRun
+	if err == nil || !isNotRun || !IsEnded(ctx) {
+		return err
+	}
+	return Refusal()
+}
+
+// attributes describes the passage in the log.
+func (p *Passage) attributes(now ferry.Moment) []slog.Attr {
+	var target ferry.TargetID
+	if sentTo := p.target.Load(); sentTo != nil {
+		target = sentTo.ID
+	}
+	return []slog.Attr{
+		slog.String("request", p.id), slog.String("stage", Stage(p.stage.Load()).String()),
+		slog.String("target", string(target)), slog.Duration("age", now.Since(p.arrived)),
+	}
+}
+
+// Decision is what becomes of a request while the VM stops, in logs and metrics.
+type Decision string
+
+// Decisions about requests.
+const (
+	Arrived Decision = "Arrived"
+	Sent    Decision = "Sent"
+	Refused Decision = "Refused"
+	Ended   Decision = "Ended"
+	Cut     Decision = "Cut"
+)
+
+// Log logs and counts what becomes of requests while the VM stops.
+type Log struct {
+	Log   *slog.Logger
+	Count func(Decision)
+}
+
+// Write logs a decision about a request. left is the rest of the time of targets.
+func (l Log) Write(ctx context.Context, decision Decision, left time.Duration, p *Passage, now ferry.Moment, more ...slog.Attr) {
+	l.Count(decision)
+	l.Log.LogAttrs(ctx, slog.LevelInfo, "request while stopping",
+		append(append(p.attributes(now), slog.String("decision", string(decision)), slog.Duration("graceLeft", left)), more...)...)
+}
+
+// Check returns a refusal of a request that must not be sent any more, and logs it.
+func (l Log) Check(ctx context.Context, grace *Grace, now ferry.Moment, need Need) error {
+	if grace.Admits(now, need) {
+		return nil
+	}
+	left, _ := grace.Left(now)
+	l.Write(ctx, Refused, left, PassageOf(ctx), now, slog.Duration("usual", need.Usual), slog.Duration("longest", need.Longest))
+	return Refusal()
+}
+
+// Passages holds the requests in progress of a VM. It must not be copied.
+type Passages struct {
+	// Grace is the grace period of the VM, or nil if it never stops.
+	Grace *Grace
+	Log   Log
+
+	mu   sync.Mutex
+	open map[*Passage]struct{}
+}
+
+// Enter adds a request and returns its context, which a planned stop may end.
+func (s *Passages) Enter(ctx context.Context, id string, arrived ferry.Moment) (context.Context, *Passage) {
+	p := &Passage{id: id, arrived: arrived}
+	ctx, p.end = context.WithCancelCause(context.WithValue(ctx, passageKey{}, p))
+	s.add(p)
+	if left, isStopping := s.Grace.Left(arrived); isStopping {
+		s.Log.Write(ctx, Arrived, left, p, arrived, OriginOf(ctx).attributes()...)
+	}
+	return ctx, p
+}
+
+func (s *Passages) add(p *Passage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = map[*Passage]struct{}{}
+	}
+	s.open[p] = struct{}{}
+}
+
+// Leave removes a request.
+func (s *Passages) Leave(p *Passage) {
+	p.end(nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, p)
+}
+
+func (s *Passages) list() []*Passage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.open))
+}
+
+// EndOverdue ends the requests that can't be answered in the rest of the grace period:
+// one that no target has got as soon as that is known, one at a target when the time of
+// targets is over. It has no effect before the grace period.
+func (s *Passages) EndOverdue(ctx context.Context, now ferry.Moment) {
+	left, isStopping := s.Grace.Left(now)
+	if !isStopping {
+		return
+	}
+	for _, p := range s.list() {
+		switch Stage(p.stage.Load()) {
+		case StageWaiting:
+			if s.Grace.Admits(now, p.demand.Load().At(now)) {
+				continue
+			}
+		case StageSent:
+			if left > 0 {
+				continue
+			}
+		case StageAnswered:
+			// The response goes on until the VM closes.
+			continue
+		}
+		if p.isEnded.Swap(true) {
+			continue
+		}
+		s.Log.Write(ctx, Ended, left, p, now)
+		p.end(errStopping)
+	}
+}
+
+// LogCut logs the requests in progress when the VM closes.
+func (s *Passages) LogCut(ctx context.Context, now ferry.Moment) {
+	left, _ := s.Grace.Left(now)
+	for _, p := range s.list() {
+		s.Log.Write(ctx, Cut, left, p, now)
+	}
+}
+
+// ResponseWriter asks callers to close their connections once the VM stops. The field is
+// set with the head of the response, since the stop may begin while a target works on it.
+type ResponseWriter struct {
+	http.ResponseWriter
+	Grace *Grace
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w ResponseWriter) WriteHeader(status int) {
+	if w.Grace.IsStopping() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the writer for an http.ResponseController.
+func (w ResponseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -53,7 +53,7 @@
 	rooms     rooms
 	// grace is the grace period of the VM, or nil.
 	grace   *drain.Grace
-	stopLog stopLog
+	stopLog drain.Log
 }
 
 // NewForwarder returns a Forwarder.
@@ -63,7 +63,7 @@
 ) *Forwarder {
 	return &Forwarder{
 		clock: clock, dialect: dialect, chooser: chooser, budgets: budgets, pool: pool,
-		guard: guard, reporter: reporter, log: log, metrics: metrics, stopLog: stopLog{log: log, metrics: metrics},
+		guard: guard, reporter: reporter, log: log, metrics: metrics, stopLog: newStopLog(log, metrics),
 	}
 }
 
@@ -217,10 +217,10 @@
 	if !ok {
 		return f.refuseWithoutTarget(now, r, wanted)
 	}
-	p := passageOf(ctx)
-	p.send(pick.Target)
+	p := drain.PassageOf(ctx)
+	p.Send(pick.Target)
 	if left, isStopping := f.grace.Left(moment); isStopping {
-		f.stopLog.write(ctx, stopSent, left, p, moment)
+		f.stopLog.Write(ctx, drain.Sent, left, p, moment)
 	}
 	r.tried = append(r.tried, pick.Target.ID)
 	r.inFlight++
@@ -381,7 +381,7 @@
 		if err = f.startAttempt(sendCtx, r, timer); err == nil {
 			return false, nil
 		}
-		if r.possibleRuns == 0 && isStopRefusal(err) {
+		if r.possibleRuns == 0 && drain.IsRefusal(err) {
 			return true, err
 		}
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/room"
 )
 
@@ -50,7 +51,7 @@
 }
 
 // countStopDecision counts a decision about a request while the VM stops.
-func (m *Metrics) countStopDecision(decision string) {
+func (m *Metrics) countStopDecision(decision drain.Decision) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_stop_decisions_total{decision=%q}`, decision)).Inc()
 }
 
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/place"
 )
 
@@ -85,7 +86,7 @@
 // expire refuses a request whose deadline has passed, or that a planned stop has ended:
 // sendCtx has ended.
 func (f *Forwarder) expire(sendCtx context.Context, r *requestState) error {
-	if isEndedByStop(sendCtx) {
+	if drain.IsEnded(sendCtx) {
 		return f.refuseStopping(r)
 	}
 	if r.possibleRuns > 0 || r.inFlight > 0 {
--- a/relay/response.go
+++ b/relay/response.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 )
 
 // deliver sends a response to the caller. A status that callers take as a
@@ -22,7 +23,7 @@
 		return f.refuse(r, http.StatusBadGateway, ferry.ReasonTargetFailed, 0, "the target failed with status "+strconv.Itoa(status))
 	}
 	r.exchange.Status = status
-	passageOf(ctx).enter(stageAnswered)
+	drain.PassageOf(ctx).Enter(drain.StageAnswered)
 	writer := r.exchange.Writer
 	header := writer.Header()
 	perConnection := connectionFields(a.response.header)
--- a/relay/room.go
+++ b/relay/room.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/room"
 )
 
@@ -249,14 +250,14 @@
 	}
 	// Nothing is in flight whose missing response would count.
 	r.checkpoints = nil
-	passageOf(ctx).enter(stageWaiting)
+	drain.PassageOf(ctx).Enter(drain.StageWaiting)
 	if err = f.awaitRoom(ctx, sendCtx, r, decision); err != nil {
 		return true, err
 	}
 	if err = f.startAttempt(sendCtx, r, timer); err == nil {
 		return false, nil
 	}
-	if isStopRefusal(err) {
+	if drain.IsRefusal(err) {
 		return true, err
 	}
 	return true, f.giveUp(ctx, r, a)
--- a/relay/server.go
+++ b/relay/server.go
@@ -42,10 +42,8 @@
 	inFlight  atomic.Int64
 	// firstWaiting is the number of requests that wait for the first configuration.
 	firstWaiting atomic.Int64
-	// grace is the grace period of the VM, or nil, and passages the requests in progress.
-	grace    *drain.Grace
-	passages passages
-	stopLog  stopLog
+	// passages holds the requests in progress.
+	passages drain.Passages
 }
 
 // NewServer returns a handler that passes requests through the chain.
@@ -54,7 +52,7 @@
 ) *Server {
 	return &Server{
 		chain: chain, snapshots: snapshots, dialect: dialect, clock: clock, log: log, metrics: metrics,
-		stopLog: stopLog{log: log, metrics: metrics},
+		passages: drain.Passages{Log: newStopLog(log, metrics)},
 	}
 }
 
@@ -66,20 +64,13 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	exchange := &ferry.Exchange{
-		Request: request, Writer: stopWriter{ResponseWriter: writer, grace: s.grace}, Arrived: s.clock.Now(),
+		Request: request, Writer: drain.ResponseWriter{ResponseWriter: writer, Grace: s.passages.Grace}, Arrived: s.clock.Now(),
 		Snapshot: s.snapshots.Snapshot(), Metadata: s.dialect.ReadRequest(request.Header),
 	}
 	exchange.ID = exchange.Metadata.ID
-	p := &passage{id: exchange.ID, arrived: exchange.Arrived}
-	var ctx context.Context
-	ctx, p.end = context.WithCancelCause(context.WithValue(request.Context(), passageKey{}, p))
-	defer p.end(nil)
-	s.passages.add(p)
-	defer s.passages.remove(p)
-	if left, isStopping := s.grace.Left(exchange.Arrived); isStopping {
-		s.stopLog.write(ctx, stopArrived, left, p, exchange.Arrived, originAttributes(drain.OriginOf(ctx))...)
-	}
-	err := endByStop(ctx, p, s.handle(ctx, exchange))
+	ctx, p := s.passages.Enter(request.Context(), exchange.ID, exchange.Arrived)
+	defer s.passages.Leave(p)
+	err := p.Result(ctx, s.handle(ctx, exchange))
 	took := s.clock.Now().Since(exchange.Arrived)
 	if err == nil {
 		s.metrics.countRequest(exchange.Route, exchange.Status, took)
@@ -137,7 +128,7 @@
 	s.log.Info("refused", "request", exchange.ID, "route", route, "account", accountID(exchange), "status", refusal.Status,
 		"reason", refusal.Reason, "outcome", refusal.Outcome.String(), "retryAfter", refusal.RetryAfter,
 		"took", took, "version", snapshotVersion(exchange.Snapshot), "detail", refusal.Detail)
-	if s.grace.IsStopping() {
+	if s.passages.Grace.IsStopping() {
 		exchange.Writer.Header().Set("Connection", "close")
 	}
 	s.leaveBody(exchange, refusal)
