timing, relay: the histogram of response times moves to a package of its own

The old data path needs the usual response time of a route as well, to know what a request needs of the rest of a grace period. Nothing changes in what relay does.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -15,6 +15,7 @@
 	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/place"
 	"monsoonferry.org/ferry/room"
+	"monsoonferry.org/ferry/timing"
 )
 
 const (
@@ -48,7 +49,7 @@
 	reporter  Reporter
 	log       *slog.Logger
 	metrics   *Metrics
-	latencies latencies
+	latencies timing.Routes
 	splitter  serviceSplitter
 	rooms     rooms
 	// grace is the grace period of the VM, or nil.
@@ -156,7 +157,7 @@
 	if !r.isIdempotent {
 		sendBase = context.WithoutCancel(ctx)
 	}
-	r.expectedBytes = max(body.length, int64(len(body.buffered))) + f.latencies.histogram(exchange.Route.ID).averageResponseSize()
+	r.expectedBytes = max(body.length, int64(len(body.buffered))) + f.latencies.Histogram(exchange.Route.ID).AverageSize()
 	remaining := f.deadline(exchange) - monotonicTime(f.clock)
 	var sendCtx context.Context
 	sendCtx, r.cancel = context.WithTimeout(sendBase, remaining)
@@ -227,7 +228,7 @@
 	pending := &pendingAttempt{pick: pick, sentAt: now}
 	r.latest = pending
 	// The expected wait for a slot does not count as a missing response.
-	p90, p98 := f.latencies.histogram(r.exchange.Route.ID).p90AndP98(r.exchange.Route.Objective)
+	p90, p98 := f.latencies.Histogram(r.exchange.Route.ID).P90AndP98(r.exchange.Route.Objective)
 	p90, p98 = p90+pick.Wait, p98+pick.Wait
 	r.checkpoints = []checkpoint{
 		{after: p90, evidence: place.EvidenceNoResponseP90},
@@ -268,7 +269,7 @@
 		report.Retracted = float64(pending.evidenceHundredths.Load()) / 100
 	}
 	if a.verdict == ferry.VerdictGood {
-		f.latencies.histogram(exchange.Route.ID).add(report.Took, len(a.response.buffered))
+		f.latencies.Histogram(exchange.Route.ID).Add(report.Took, len(a.response.buffered))
 	}
 	evidence := f.chooser.Release(now, pending.pick, report)
 	if a.response != nil {
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -25,7 +25,7 @@
 
 // demand returns what a request needs of the rest of a grace period.
 func (f *Forwarder) demand(exchange *ferry.Exchange) *drain.Demand {
-	_, p98 := f.latencies.histogram(exchange.Route.ID).p90AndP98(exchange.Route.Objective)
+	_, p98 := f.latencies.Histogram(exchange.Route.ID).P90AndP98(exchange.Route.Objective)
 	return &drain.Demand{Usual: p98, Deadline: f.deadline(exchange)}
 }
 
--- a/relay/latency.go
+++ b/timing/timing.go
@@ -1,4 +1,16 @@
-package relay
+// Package timing measures how long the targets of a route take to respond.
+//
+// # Concept
+//
+// Each route has a histogram whose old responses lose weight. Until it holds enough of
+// them, fractions of the route's objective stand for its quantiles.
+//
+// # Usage
+//
+//	var routes timing.Routes
+//	routes.Histogram(route.ID).Add(took, len(body))
+//	p90, p98 := routes.Histogram(route.ID).P90AndP98(route.Objective)
+package timing
 
 import (
 	"math"
@@ -30,8 +42,8 @@
 	defaultObjective = 800 * time.Millisecond
 )
 
-// latencyHistogram is the distribution of a route's response times on this VM.
-type latencyHistogram struct {
+// Histogram is the distribution of a route's response times on this VM.
+type Histogram struct {
 	mu     sync.Mutex
 	counts [bucketCount]float64
 	total  float64
@@ -39,28 +51,29 @@
 	averageSize float64
 }
 
-// latencies holds the histogram of each route. The zero value is ready to use.
-type latencies struct {
+// Routes holds the histogram of each route. The zero value is ready to use.
+type Routes struct {
 	routes sync.Map
 }
 
-func (l *latencies) histogram(route ferry.RouteID) *latencyHistogram {
-	if loaded, found := l.routes.Load(route); found {
-		return loaded.(*latencyHistogram)
+// Histogram returns the histogram of a route.
+func (r *Routes) Histogram(route ferry.RouteID) *Histogram {
+	if loaded, found := r.routes.Load(route); found {
+		return loaded.(*Histogram)
 	}
-	created, _ := l.routes.LoadOrStore(route, &latencyHistogram{})
-	return created.(*latencyHistogram)
+	created, _ := r.routes.LoadOrStore(route, &Histogram{})
+	return created.(*Histogram)
 }
 
-// averageResponseSize returns the average size of a response, in bytes.
-func (h *latencyHistogram) averageResponseSize() int64 {
+// AverageSize returns the average size of a response, in bytes.
+func (h *Histogram) AverageSize() int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return int64(h.averageSize)
 }
 
-// add counts a response of the given size, in bytes.
-func (h *latencyHistogram) add(took time.Duration, size int) {
+// Add counts a response of the given size, in bytes.
+func (h *Histogram) Add(took time.Duration, size int) {
 	bucket := 0
 	if took > firstBucketBound {
 		bucket = min(bucketCount-1, 1+int(math.Log(float64(took)/float64(firstBucketBound))/math.Log(bucketGrowth)))
@@ -80,8 +93,8 @@
 	}
 }
 
-// p90AndP98 returns the times within which 9 in 10 and 49 in 50 responses come.
-func (h *latencyHistogram) p90AndP98(objective time.Duration) (p90, p98 time.Duration) {
+// P90AndP98 returns the times within which 9 in 10 and 49 in 50 responses come.
+func (h *Histogram) P90AndP98(objective time.Duration) (p90, p98 time.Duration) {
 	if objective == 0 {
 		objective = defaultObjective
 	}
@@ -93,7 +106,7 @@
 	return h.quantile(0.9), h.quantile(0.98)
 }
 
-func (h *latencyHistogram) quantile(fraction float64) time.Duration {
+func (h *Histogram) quantile(fraction float64) time.Duration {
 	remaining := h.total * fraction
 	bound := float64(firstBucketBound)
 	for _, count := range h.counts {
