--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -172,7 +172,7 @@
 }
 
 const validSettings = `{"ID": "vm-1", "Place": "p1", "Callers": "127.0.0.1:1", "Peers": "127.0.0.1:2", "Admin": "127.0.0.1:3",
- "Platform": ["127.0.0.1:4"], "LogLevel": "Debug", "LogFormat": "Json", "OperatorKey": "` + keyDigest + `", "PlainText": true}`
+ "Platform": ["127.0.0.1:4"], "LogLevel": "Debug", "LogFormat": "Json", "OperatorKey": "` + keyDigest + `", "PlainText": true, "GracePeriod": "20s"}`
 
 func TestParseSettings(t *testing.T) {
 	is := is.New(t)
@@ -180,7 +180,11 @@
 	is.NoErr(err)
 	is.Equal(settings.ID, ferry.VMID("vm-1"))
 	is.Equal(settings.OperatorKey, ferry.HashKey("test"))
-	invalid := strings.NewReplacer(`"vm-1"`, `""`, `"Debug"`, `"Loud"`, `"Json"`, `"Xml"`, `true`, `false`, keyDigest, "x", `["127.0.0.1:4"]`, `[]`).Replace(validSettings)
+	is.Equal(settings.StopPeriod(), 20*time.Second)
+	unset, err := ParseSettings([]byte(strings.Replace(validSettings, `, "GracePeriod": "20s"`, "", 1)))
+	is.NoErr(err)
+	is.Equal(unset.StopPeriod(), DefaultStopPeriod)
+	invalid := strings.NewReplacer(`"vm-1"`, `""`, `"Debug"`, `"Loud"`, `"Json"`, `"Xml"`, `true`, `false`, keyDigest, "x", `["127.0.0.1:4"]`, `[]`, `"20s"`, `"-1s"`).Replace(validSettings)
 	_, err = ParseSettings([]byte(invalid))
 	var problems ProblemsError
 	is.True(errors.As(err, &problems))
@@ -188,7 +192,7 @@
 	for _, p := range problems {
 		paths = append(paths, p.Path)
 	}
-	is.Equal(paths, []string{"ID", "Platform", "PlainText", "LogLevel", "LogFormat", "OperatorKey"})
+	is.Equal(paths, []string{"ID", "Platform", "PlainText", "GracePeriod", "LogLevel", "LogFormat", "OperatorKey"})
 }
 
 // TestReferencePage checks that docs/SETTINGS.md documents all fields that the
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -1,9 +1,11 @@
 package conf
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"time"
 
 	"monsoonferry.org/ferry"
 )
@@ -26,8 +28,17 @@
 	PeerTLS     TLSFiles
 	// PlainText allows listeners without TLS.
 	PlainText bool
+	// GracePeriod is the time between the signal to stop and a forced kill, or zero for
+	// DefaultStopPeriod.
+	GracePeriod time.Duration
 }
 
+// DefaultStopPeriod is the default of Settings.GracePeriod.
+const DefaultStopPeriod = 30 * time.Second
+
+// StopPeriod returns the grace period or its default.
+func (s Settings) StopPeriod() time.Duration { return cmp.Or(s.GracePeriod, DefaultStopPeriod) }
+
 // LogFormat selects the encoding of log lines.
 type LogFormat string
 
@@ -59,6 +70,7 @@
 		CallerTLS   tlsDocument
 		PeerTLS     tlsDocument
 		PlainText   bool
+		GracePeriod string
 	}
 	tlsDocument struct {
 		Certificate string
@@ -87,6 +99,7 @@
 		PlainText: d.PlainText,
 	}
 	checkRequired(d, &problems)
+	settings.GracePeriod = parseDuration("GracePeriod", d.GracePeriod, &problems)
 	for i, text := range d.Platform {
 		settings.Platform = append(settings.Platform, parseAddress(fmt.Sprintf("Platform[%d]", i), text, &problems))
 	}
