--- a/node/drain.go
+++ b/node/drain.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"time"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 )
 
 const (
@@ -11,14 +14,6 @@
 	// of the grace period that it takes at most.
 	listenAfterDrain = 1500 * time.Millisecond
 	maxListenShare   = 0.25
-	// quietBeforeClose is the time without input after which a connection without a
-	// request is closed: a round trip with a lost packet.
-	quietBeforeClose = 500 * time.Millisecond
-	// closeInterval is the time between two checks for requests that are overdue and for
-	// quiet connections.
-	closeInterval = 20 * time.Millisecond
-	// exitMargin is the part of the grace period reserved for the exit of the process.
-	exitMargin = 150 * time.Millisecond
 )
 
 // Drain starts the planned stop. The VM is removed from the addresses for callers
@@ -42,43 +37,15 @@
 	}
 	period, _ := n.grace.Remaining(n.clock.Now())
 	listenUntil := period - min(listenAfterDrain, time.Duration(maxListenShare*float64(period)))
-	ticker := time.NewTicker(closeInterval)
-	defer ticker.Stop()
-	for isListening := true; ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		n.server.EndOverdue(ctx)
-		remaining, _ := n.grace.Remaining(n.clock.Now())
-		switch {
-		case remaining <= exitMargin:
-			n.log.Warn("drain ended by the grace period", "open", n.listener.Remaining(), "inFlight", n.server.InFlight())
-			n.server.LogCut(ctx)
-			return
-		case remaining > listenUntil:
-		case isListening:
-			isListening = false
-			if err := n.listener.StopAccepting(); err != nil {
-				n.log.Warn("listener for callers not stopped", "error", err)
-			}
-		default:
-			n.closeQuiet()
-			if n.listener.Remaining() == 0 {
-				n.log.Info("drain completed", "inFlight", n.server.InFlight(), "took", period-remaining)
-				return
-			}
-		}
+	stop := drain.Stop{
+		Clock: n.clock, Passages: n.server.Passages(), Connections: n.listener, Log: n.log,
+		MayClose: func(_ ferry.Moment, remaining time.Duration) bool { return remaining <= listenUntil },
 	}
-}
-
-// closeQuiet closes the connections of callers that have no request. Once the time of
-// targets is over, none is waited for: it would be refused.
-func (n *Node) closeQuiet() {
-	quiet := quietBeforeClose
-	if left, _ := n.grace.Left(n.clock.Now()); left <= 0 {
-		quiet = closeInterval
+	switch {
+	case stop.Run(ctx):
+		remaining, _ := n.grace.Remaining(n.clock.Now())
+		n.log.Info("drain completed", "inFlight", n.server.InFlight(), "took", period-remaining)
+	case ctx.Err() == nil:
+		n.log.Warn("drain ended by the grace period", "open", n.listener.Remaining(), "inFlight", n.server.InFlight())
 	}
-	n.listener.CloseQuiet(quiet)
 }
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -70,8 +70,5 @@
 // request; without it, the VM never stops.
 func (s *Server) SetGrace(grace *drain.Grace) { s.passages.Grace = grace }
 
-// EndOverdue ends the requests that can't be answered in the rest of the grace period.
-func (s *Server) EndOverdue(ctx context.Context) { s.passages.EndOverdue(ctx, s.clock.Now()) }
-
-// LogCut logs the requests in progress when the VM closes.
-func (s *Server) LogCut(ctx context.Context) { s.passages.LogCut(ctx, s.clock.Now()) }
+// Passages returns the requests in progress.
+func (s *Server) Passages() *drain.Passages { return &s.passages }
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -24,7 +24,7 @@
 	t.Cleanup(cancel)
 	go func() {
 		for ctx.Err() == nil {
-			h.server.EndOverdue(ctx)
+			h.server.Passages().EndOverdue(ctx, h.forwarder.clock.Now())
 			time.Sleep(5 * time.Millisecond)
 		}
 	}()
