drain: targets stop answering before the process exits, also in a short grace period

Callers saw: a VM with a grace period of 1 s cut a request at its target 0.86 s after the signal without a byte of an answer.

Cause: the time of targets was nine tenths of the grace period and the exit 150 ms before its end. With less than 1.5 s the exit came first.

Change: the time of targets ends twice the exit margin before the grace period does, at the latest. From 3 s on nothing changes.

--- a/drain/grace.go
+++ b/drain/grace.go
@@ -11,6 +11,9 @@
 	// answerShare is the part of the grace period within which targets may answer. The
 	// rest is for the last responses, the end of the connections and the exit.
 	answerShare = 0.9
+	// minAnswerMargin is the least time between the end of the time of targets and that of
+	// a short grace period: exitMargin, and the time to write the last refusals.
+	minAnswerMargin = 2 * exitMargin
 	// likelyShare is the part of the grace period within which a request is sent because
 	// it will probably be answered. After it only the end of its own time counts.
 	likelyShare = 0.5
@@ -66,7 +69,7 @@
 		return 0, false
 	}
 	s := g.stop.Load()
-	return share(s.period, answerShare) - now.LongestSince(s.startedAt), true
+	return min(share(s.period, answerShare), s.period-minAnswerMargin) - now.LongestSince(s.startedAt), true
 }
 
 // TargetTime returns how long a target may work on a request that has the given time: no
--- a/drain/grace_test.go
+++ b/drain/grace_test.go
@@ -52,3 +52,16 @@
 	is.True(isStopping)
 	is.Equal(left, 1400*time.Millisecond)
 }
+
+// In a short grace period, too, requests get their refusals before the process exits.
+func TestShortGraceLeavesTimeForRefusals(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for _, period := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 6 * time.Second, time.Minute} {
+		var g Grace
+		g.Begin(momentAt(0), period)
+		left, _ := g.Left(momentAt(0))
+		remaining, _ := g.Remaining(momentAt(left))
+		is.True(remaining >= 2*exitMargin)
+	}
+}
