drain: the listener tracks connections with TLS and HTTP/2 and keeps the server's write deadlines

Its callers may use TLS, whose connections package http reports as tls.Conn: SetState and Context now look beneath. Connections of HTTP/2 are ended by a message of the server, not by CloseQuiet. Its data path sets write deadlines of its own, which the Listener's progress check replaced: they now hold as well.

--- a/drain/bounds.go
+++ b/drain/bounds.go
@@ -98,7 +98,7 @@
 
 // Context is the ConnContext of the http.Server.
 func (l *Listener) Context(ctx context.Context, conn net.Conn) context.Context {
-	if c, ok := conn.(*connection); ok {
+	if c, ok := connectionOf(conn); ok {
 		return context.WithValue(ctx, connectionKey{}, c)
 	}
 	return ctx
@@ -125,7 +125,11 @@
 	defer c.writesSince.Store(0)
 	for written < len(p) && err == nil {
 		now := time.Now()
-		if err = c.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+		deadline := now.Add(writeTimeout)
+		if outer := c.writeDeadline.Load(); outer != nil && outer.Before(deadline) {
+			deadline = *outer
+		}
+		if err = c.TCPConn.SetWriteDeadline(deadline); err != nil {
 			return written, err
 		}
 		c.writesSince.Store(int64(now.Sub(c.started)))
@@ -139,7 +143,26 @@
 	if err != nil {
 		return written, err
 	}
-	return written, c.SetWriteDeadline(time.Time{})
+	return written, c.TCPConn.SetWriteDeadline(time.Time{})
+}
+
+// SetWriteDeadline implements net.Conn. Writes fail at the deadline also when the caller
+// makes progress.
+func (c *connection) SetWriteDeadline(deadline time.Time) error {
+	if deadline.IsZero() {
+		c.writeDeadline.Store(nil)
+	} else {
+		c.writeDeadline.Store(&deadline)
+	}
+	return c.TCPConn.SetWriteDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *connection) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
 }
 
 // ReadFrom implements io.ReaderFrom in place of the method of TCPConn, so that the
--- a/drain/bounds_test.go
+++ b/drain/bounds_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -211,3 +213,22 @@
 	is.NoErr(<-sent)
 	is.True(bytes.Equal(got, body.Bytes()))
 }
+
+func TestWriteDeadlineOfServerHolds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tcp, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	listener := NewListener(tcp)
+	caller, err := net.Dial("tcp4", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = caller.Close() }()
+	conn, err := listener.Accept()
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	started := time.Now()
+	is.NoErr(conn.SetWriteDeadline(started.Add(100 * time.Millisecond)))
+	_, err = conn.Write(make([]byte, 64<<20))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	is.True(time.Since(started) < writeTimeout/10)
+}
--- a/drain/listener.go
+++ b/drain/listener.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -27,6 +28,8 @@
 	// response that closes its connection.
 	lingerTimeout  = 500 * time.Millisecond
 	maxLingerBytes = 256 << 10
+	// http2Protocol is the name of HTTP/2 in a TLS handshake.
+	http2Protocol = "h2"
 )
 
 // Listener accepts the connections of an http.Server and keeps track of them, so that
@@ -86,6 +89,21 @@
 	headerBytes atomic.Int64
 	// isExpired reports that CloseQuiet has ended the wait for a request.
 	isExpired atomic.Bool
+	// isMultiplexed reports that the connection carries requests beside each other, so
+	// that only a message of the server can end it without a loss.
+	isMultiplexed atomic.Bool
+	// writeDeadline is the deadline that the server has set for writes, or nil.
+	writeDeadline atomic.Pointer[time.Time]
+}
+
+// connectionOf returns the connection of the Listener under the one of the server, which
+// may use TLS.
+func connectionOf(conn net.Conn) (*connection, bool) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	c, ok := conn.(*connection)
+	return c, ok
 }
 
 // isQuiet reports whether no part of a request has arrived, and none for a time.
@@ -210,10 +228,13 @@
 
 // SetState is the ConnState of the http.Server.
 func (l *Listener) SetState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*connection)
+	c, ok := connectionOf(conn)
 	if !ok {
 		return
 	}
+	if secure, isSecure := conn.(*tls.Conn); isSecure && state == http.StateActive {
+		c.isMultiplexed.Store(secure.ConnectionState().NegotiatedProtocol == http2Protocol)
+	}
 	if state == http.StateNew || state == http.StateIdle {
 		c.waitsSince.Store(int64(time.Since(l.started)))
 	}
@@ -251,6 +272,19 @@
 	return count
 }
 
+// IsMultiplexed reports whether all connections that have not ended carry requests beside
+// each other. CloseQuiet closes none of them.
+func (l *Listener) IsMultiplexed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if !c.isMultiplexed.Load() {
+			return false
+		}
+	}
+	return true
+}
+
 // CloseQuiet makes the server close the connections that have waited for a request for
 // the given time without receiving a part of one. It returns the number of connections
 // that were open.
@@ -261,7 +295,7 @@
 	count := 0
 	for c := range l.open {
 		count++
-		if c.isQuiet(now, quiet) {
+		if !c.isMultiplexed.Load() && c.isQuiet(now, quiet) {
 			// The read of the server ends without a byte and it closes the connection,
 			// unless it has just got some.
 			c.isExpired.Store(true)
