--- a/drain/grace.go
+++ b/drain/grace.go
@@ -11,12 +11,18 @@
 	// answerShare is the part of the grace period within which targets may answer. The
 	// rest is for the last responses, the end of the connections and the exit.
 	answerShare = 0.9
+	// minAnswerMargin is the least time between the end of the time of targets and that of
+	// a short grace period: exitMargin, and the time to write the last refusals.
+	minAnswerMargin = 2 * exitMargin
 	// likelyShare is the part of the grace period within which a request is sent because
 	// it will probably be answered. After it only the end of its own time counts.
 	likelyShare = 0.5
 	// usualFactor is how often the usual time of an answer has to fit in the rest of the
 	// grace period.
 	usualFactor = 1.5
+	// returnTime is the part of the rest of a grace period that the response of a target
+	// needs for its way back.
+	returnTime = 100 * time.Millisecond
 )
 
 // Need is the time for which a request occupies a target.
@@ -63,7 +69,16 @@
 		return 0, false
 	}
 	s := g.stop.Load()
-	return share(s.period, answerShare) - now.LongestSince(s.startedAt), true
+	return min(share(s.period, answerShare), s.period-minAnswerMargin) - now.LongestSince(s.startedAt), true
+}
+
+// TargetTime returns how long a target may work on a request that has the given time: no
+// longer than its response can still be delivered.
+func (g *Grace) TargetTime(now ferry.Moment, remaining time.Duration) time.Duration {
+	if left, isStopping := g.Left(now); isStopping {
+		return min(remaining, left-returnTime)
+	}
+	return remaining
 }
 
 // Admits reports whether a request may be sent to a target: always before a stop, in the
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -15,6 +15,7 @@
 	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/place"
 	"monsoonferry.org/ferry/room"
+	"monsoonferry.org/ferry/timing"
 )
 
 const (
@@ -48,12 +49,12 @@
 	reporter  Reporter
 	log       *slog.Logger
 	metrics   *Metrics
-	latencies latencies
+	latencies timing.Routes
 	splitter  serviceSplitter
 	rooms     rooms
 	// grace is the grace period of the VM, or nil.
 	grace   *drain.Grace
-	stopLog stopLog
+	stopLog drain.Log
 }
 
 // NewForwarder returns a Forwarder.
@@ -63,7 +64,7 @@
 ) *Forwarder {
 	return &Forwarder{
 		clock: clock, dialect: dialect, chooser: chooser, budgets: budgets, pool: pool,
-		guard: guard, reporter: reporter, log: log, metrics: metrics, stopLog: stopLog{log: log, metrics: metrics},
+		guard: guard, reporter: reporter, log: log, metrics: metrics, stopLog: newStopLog(log, metrics),
 	}
 }
 
@@ -156,7 +157,7 @@
 	if !r.isIdempotent {
 		sendBase = context.WithoutCancel(ctx)
 	}
-	r.expectedBytes = max(body.length, int64(len(body.buffered))) + f.latencies.histogram(exchange.Route.ID).averageResponseSize()
+	r.expectedBytes = max(body.length, int64(len(body.buffered))) + f.latencies.Histogram(exchange.Route.ID).AverageSize()
 	remaining := f.deadline(exchange) - monotonicTime(f.clock)
 	var sendCtx context.Context
 	sendCtx, r.cancel = context.WithTimeout(sendBase, remaining)
@@ -217,17 +218,17 @@
 	if !ok {
 		return f.refuseWithoutTarget(now, r, wanted)
 	}
-	p := passageOf(ctx)
-	p.send(pick.Target)
+	p := drain.PassageOf(ctx)
+	p.Send(pick.Target)
 	if left, isStopping := f.grace.Left(moment); isStopping {
-		f.stopLog.write(ctx, stopSent, left, p, moment)
+		f.stopLog.Write(ctx, drain.Sent, left, p, moment)
 	}
 	r.tried = append(r.tried, pick.Target.ID)
 	r.inFlight++
 	pending := &pendingAttempt{pick: pick, sentAt: now}
 	r.latest = pending
 	// The expected wait for a slot does not count as a missing response.
-	p90, p98 := f.latencies.histogram(r.exchange.Route.ID).p90AndP98(r.exchange.Route.Objective)
+	p90, p98 := f.latencies.Histogram(r.exchange.Route.ID).P90AndP98(r.exchange.Route.Objective)
 	p90, p98 = p90+pick.Wait, p98+pick.Wait
 	r.checkpoints = []checkpoint{
 		{after: p90, evidence: place.EvidenceNoResponseP90},
@@ -268,7 +269,7 @@
 		report.Retracted = float64(pending.evidenceHundredths.Load()) / 100
 	}
 	if a.verdict == ferry.VerdictGood {
-		f.latencies.histogram(exchange.Route.ID).add(report.Took, len(a.response.buffered))
+		f.latencies.Histogram(exchange.Route.ID).Add(report.Took, len(a.response.buffered))
 	}
 	evidence := f.chooser.Release(now, pending.pick, report)
 	if a.response != nil {
@@ -381,7 +382,7 @@
 		if err = f.startAttempt(sendCtx, r, timer); err == nil {
 			return false, nil
 		}
-		if r.possibleRuns == 0 && isStopRefusal(err) {
+		if r.possibleRuns == 0 && drain.IsRefusal(err) {
 			return true, err
 		}
 	}
