drain, relay: a stop ends, sends and answers a request one at a time; what can't return in time isn't sent

A request that was ended while it waited could still be sent, and its caller told 'not run' about another state. A passage now has one lock: ended or sent, ended or answered. - The first half of a grace period of 30 s let requests be sent 15 s after the signal; operators forgive the end of those of the first 3 s only. - In the last 100 ms of the time of targets a request was sent with a deadline of 1 ms. What is left excludes the way back now, and nothing is sent at zero. - A hedge that isn't sent was logged and counted as a refusal of its request. Two expectations of TestGrace* moved by these 100 ms.

--- a/drain/grace.go
+++ b/drain/grace.go
@@ -14,14 +14,15 @@
 	// minAnswerMargin is the least time between the end of the time of targets and that of
 	// a short grace period: exitMargin, and the time to write the last refusals.
 	minAnswerMargin = 2 * exitMargin
-	// likelyShare is the part of the grace period within which a request is sent because
-	// it will probably be answered. After it only the end of its own time counts.
+	// likelyTime is the time after the signal within which a request is sent because it
+	// will probably be answered, at most likelyShare of the grace period: operators forgive
+	// that such a request is ended. After it only the end of its own time counts.
+	likelyTime  = 3 * time.Second
 	likelyShare = 0.5
 	// usualFactor is how often the usual time of an answer has to fit in the rest of the
 	// grace period.
 	usualFactor = 1.5
-	// returnTime is the part of the rest of a grace period that the response of a target
-	// needs for its way back.
+	// returnTime is the time that the response of a target needs for its way back.
 	returnTime = 100 * time.Millisecond
 )
 
@@ -62,35 +63,48 @@
 	return s.period - now.LongestSince(s.startedAt), true
 }
 
-// Left returns the time within which a target can still answer. It is negative while the
-// last responses are written. isStopping is false before the grace period.
+// Left returns the time for which a target can still work, so that its response comes in
+// time. It is negative while the last responses are written. isStopping is false before the grace period.
 func (g *Grace) Left(now ferry.Moment) (left time.Duration, isStopping bool) {
 	if !g.IsStopping() {
 		return 0, false
 	}
 	s := g.stop.Load()
-	return min(share(s.period, answerShare), s.period-minAnswerMargin) - now.LongestSince(s.startedAt), true
+	answerBy := min(share(s.period, answerShare), s.period-minAnswerMargin)
+	return answerBy - returnTime - now.LongestSince(s.startedAt), true
 }
 
 // TargetTime returns how long a target may work on a request that has the given time: no
 // longer than its response can still be delivered.
 func (g *Grace) TargetTime(now ferry.Moment, remaining time.Duration) time.Duration {
 	if left, isStopping := g.Left(now); isStopping {
-		return min(remaining, left-returnTime)
+		return min(remaining, left)
 	}
 	return remaining
 }
 
-// Admits reports whether a request may be sent to a target: always before a stop, in the
-// first half of the grace period if it will probably be answered in the rest, and later
-// if its own time ends before the grace period does.
+// Admits reports whether a request may be sent to a target: always before a stop, in its
+// first part if the request will probably be answered in the rest, and later if its own
+// time ends before that of targets.
 func (g *Grace) Admits(now ferry.Moment, need Need) bool {
 	left, isStopping := g.Left(now)
-	if !isStopping || need.Longest <= left {
+	switch {
+	case !isStopping:
+		return true
+	case left <= 0:
+		return false
+	case need.Longest <= left:
 		return true
 	}
 	s := g.stop.Load()
-	return now.LongestSince(s.startedAt) < share(s.period, likelyShare) && time.Duration(usualFactor*float64(need.Usual)) <= left
+	isEarly := now.LongestSince(s.startedAt) < min(likelyTime, share(s.period, likelyShare))
+	return isEarly && time.Duration(usualFactor*float64(need.Usual)) <= left
+}
+
+// isOver reports whether the time in which responses of targets can come is over.
+func (g *Grace) isOver(now ferry.Moment) bool {
+	left, isStopping := g.Left(now)
+	return isStopping && left <= -returnTime
 }
 
 func share(period time.Duration, part float64) time.Duration {
--- a/drain/grace_test.go
+++ b/drain/grace_test.go
@@ -31,9 +31,9 @@
 		{2900 * time.Millisecond, time.Second, 12 * time.Second, true},
 		// In the second half, the request has to end by itself before the end.
 		{3 * time.Second, time.Millisecond, 12 * time.Second, false},
-		{3 * time.Second, time.Second, 2400 * time.Millisecond, true},
-		{4 * time.Second, time.Second, 1400 * time.Millisecond, true},
-		{4 * time.Second, time.Second, 1500 * time.Millisecond, false},
+		{3 * time.Second, time.Second, 2300 * time.Millisecond, true},
+		{4 * time.Second, time.Second, 1300 * time.Millisecond, true},
+		{4 * time.Second, time.Second, 1400 * time.Millisecond, false},
 		{5400 * time.Millisecond, 0, time.Millisecond, false},
 	} {
 		got := g.Admits(momentAt(10*time.Second+c.after), Need{Usual: c.usual, Longest: c.longest})
@@ -50,7 +50,7 @@
 	g.Begin(momentAt(0), 6*time.Second)
 	left, isStopping := g.Left(ferry.Moment{Monotonic: time.Second, Wall: 4 * time.Second})
 	is.True(isStopping)
-	is.Equal(left, 1400*time.Millisecond)
+	is.Equal(left, 1300*time.Millisecond)
 }
 
 // In a short grace period, too, requests get their refusals before the process exits.
@@ -65,3 +65,14 @@
 		is.True(remaining >= 2*exitMargin)
 	}
 }
+
+// What a target still works on at the end has to be sent within 3 s after the signal.
+func TestLateRequestIsNotCutByStopWithLongGracePeriod(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for _, period := range []time.Duration{6 * time.Second, 10 * time.Second, 30 * time.Second} {
+		var g Grace
+		g.Begin(momentAt(0), period)
+		is.True(!g.Admits(momentAt(3100*time.Millisecond), Need{Usual: 100 * time.Millisecond, Longest: time.Minute}))
+	}
+}
--- a/drain/passage.go
+++ b/drain/passage.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"monsoonferry.org/ferry"
@@ -57,16 +56,18 @@
 type Passage struct {
 	id      string
 	arrived ferry.Moment
-	stage   atomic.Int32
+	// end cancels the context of the request, with a cause.
+	end context.CancelCauseFunc
+
+	mu    sync.Mutex
+	stage Stage
 	// target is the one that got the request last, or nil.
-	target atomic.Pointer[ferry.Target]
+	target *ferry.Target
 	// demand is what the request needs of the rest of a grace period, nil until its route
 	// is known.
-	demand atomic.Pointer[Demand]
-	// end cancels the context of the request, with a cause. isEnded reports that a planned
-	// stop has called it.
-	end     context.CancelCauseFunc
-	isEnded atomic.Bool
+	demand *Demand
+	// isEnded reports that a planned stop has called end.
+	isEnded bool
 }
 
 // Demand is what a request needs of the rest of a grace period.
@@ -95,23 +96,72 @@
 	return &Passage{}
 }
 
-// Enter notes how far the request has come.
-func (p *Passage) Enter(s Stage) { p.stage.Store(int32(s)) }
-
 // SetDemand notes what the request needs of the rest of a grace period.
-func (p *Passage) SetDemand(d *Demand) { p.demand.Store(d) }
+func (p *Passage) SetDemand(d *Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand = d
+}
+
+// Enter notes how far the request has come. It reports false if a planned stop has ended
+// it before.
+func (p *Passage) Enter(s Stage) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isEnded {
+		return false
+	}
+	p.stage = s
+	return true
+}
+
+// Send notes that a target is about to get the request. It reports false if a planned
+// stop has ended the request: then it must not be sent.
+func (p *Passage) Send(target *ferry.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isEnded {
+		return false
+	}
+	p.stage, p.target = StageSent, target
+	return true
+}
+
+func (p *Passage) stageNow() Stage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stage
+}
+
+// isOverdue reports whether the request can't be answered in the rest of the grace period.
+// A response that has begun goes on until the VM closes.
+func (p *Passage) isOverdue(grace *Grace, now ferry.Moment) bool {
+	switch p.stage {
+	case StageWaiting:
+		return !grace.Admits(now, p.demand.At(now))
+	case StageSent:
+		return grace.isOver(now)
+	default:
+		return false
+	}
+}
 
-// Send notes that a target gets the request.
-func (p *Passage) Send(target *ferry.Target) {
-	p.target.Store(target)
-	p.Enter(StageSent)
+// tryEnd marks an overdue request as ended. It reports false for others.
+func (p *Passage) tryEnd(grace *Grace, now ferry.Moment) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isEnded || !p.isOverdue(grace, now) {
+		return false
+	}
+	p.isEnded = true
+	return true
 }
 
 // Result returns the result of a request that ended with err, if a planned stop has
 // ended it. Where it waited, what it waited for is not why it ends.
 func (p *Passage) Result(ctx context.Context, err error) error {
 	var refusal *ferry.RefusalError
-	isNotRun := Stage(p.stage.Load()) == StageWaiting || errors.As(err, &refusal) && refusal.Outcome == ferry.OutcomeNotRun
+	isNotRun := p.stageNow() == StageWaiting || errors.As(err, &refusal) && refusal.Outcome == ferry.OutcomeNotRun
 	if err == nil || !isNotRun || !IsEnded(ctx) {
 		return err
 	}
@@ -120,12 +170,14 @@
 
 // attributes describes the passage in the log.
 func (p *Passage) attributes(now ferry.Moment) []slog.Attr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var target ferry.TargetID
-	if sentTo := p.target.Load(); sentTo != nil {
-		target = sentTo.ID
+	if p.target != nil {
+		target = p.target.ID
 	}
 	return []slog.Attr{
-		slog.String("request", p.id), slog.String("stage", Stage(p.stage.Load()).String()),
+		slog.String("request", p.id), slog.String("stage", p.stage.String()),
 		slog.String("target", string(target)), slog.Duration("age", now.Since(p.arrived)),
 	}
 }
@@ -218,24 +270,10 @@
 		return
 	}
 	for _, p := range s.list() {
-		switch Stage(p.stage.Load()) {
-		case StageWaiting:
-			if s.Grace.Admits(now, p.demand.Load().At(now)) {
-				continue
-			}
-		case StageSent:
-			if left > 0 {
-				continue
-			}
-		case StageAnswered:
-			// The response goes on until the VM closes.
-			continue
-		}
-		if p.isEnded.Swap(true) {
-			continue
+		if p.tryEnd(s.Grace, now) {
+			s.Log.Write(ctx, Ended, left, p, now)
+			p.end(errStopping)
 		}
-		s.Log.Write(ctx, Ended, left, p, now)
-		p.end(errStopping)
 	}
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -219,7 +219,10 @@
 		return f.refuseWithoutTarget(now, r, wanted)
 	}
 	p := drain.PassageOf(ctx)
-	p.Send(pick.Target)
+	if !p.Send(pick.Target) {
+		f.chooser.Release(now, pick, place.Report{Verdict: ferry.VerdictNone})
+		return drain.Refusal()
+	}
 	if left, isStopping := f.grace.Left(moment); isStopping {
 		f.stopLog.Write(ctx, drain.Sent, left, p, moment)
 	}
@@ -325,7 +328,7 @@
 	if len(r.checkpoints) > 0 {
 		timer.Reset(r.checkpoints[0].after - reached.after)
 	}
-	if r.isIdempotent && f.takeRetry(r) {
+	if r.isIdempotent && f.admits(r.exchange) && f.takeRetry(r) {
 		checkpoints, latest := r.checkpoints, r.latest
 		if err := f.startAttempt(ctx, r, timer); err != nil {
 			// The attempt in progress goes on.
--- a/relay/response.go
+++ b/relay/response.go
@@ -22,8 +22,12 @@
 		a.response.release(false)
 		return f.refuse(r, http.StatusBadGateway, ferry.ReasonTargetFailed, 0, "the target failed with status "+strconv.Itoa(status))
 	}
+	// A planned stop that has ended the request would cut the rest of the response.
+	if !drain.PassageOf(ctx).Enter(drain.StageAnswered) && a.response.rest != nil {
+		a.response.release(false)
+		return f.refuseStopping(r)
+	}
 	r.exchange.Status = status
-	drain.PassageOf(ctx).Enter(drain.StageAnswered)
 	writer := r.exchange.Writer
 	header := writer.Header()
 	perConnection := connectionFields(a.response.header)
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -38,6 +38,15 @@
 	return f.stopLog.Check(ctx, f.grace, now, f.demand(exchange).At(now))
 }
 
+// admits reports whether a planned stop lets a request be sent now.
+func (f *Forwarder) admits(exchange *ferry.Exchange) bool {
+	if !f.grace.IsStopping() {
+		return true
+	}
+	now := f.clock.Now()
+	return f.grace.Admits(now, f.demand(exchange).At(now))
+}
+
 // refuseStopping ends a request that a planned stop has ended.
 func (f *Forwarder) refuseStopping(r *requestState) error {
 	refusal := drain.Refusal()
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +16,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 )
 
 // stop begins the grace period of a planned stop and ends overdue requests as a VM does.
@@ -199,3 +204,231 @@
 		is.True(strings.Contains(metrics.String(), `ferry_stop_decisions_total{decision="`+decision+`"} `+strconv.Itoa(count)))
 	}
 }
+
+// hookHandler calls hook with the attributes of each line "request while stopping".
+type hookHandler struct {
+	slog.Handler
+	hook func(decision, request string)
+}
+
+func (h hookHandler) Enabled(context.Context, slog.Level) bool { return true }
+
+// Handle implements slog.Handler.
+func (h hookHandler) Handle(_ context.Context, record slog.Record) error {
+	if record.Message != "request while stopping" {
+		return nil
+	}
+	var decision, request string
+	record.Attrs(func(a slog.Attr) bool {
+		switch a.Key {
+		case "decision":
+			decision = a.Value.String()
+		case "request":
+			request = a.Value.String()
+		}
+		return true
+	})
+	h.hook(decision, request)
+	return nil
+}
+
+// A response that begins while EndOverdue decides is delivered whole.
+func TestResponseThatBeginsAtEndOfStopIsNotCut(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const size = maxBufferedResponse + 100_000
+	begin := make(chan struct{})
+	target := startTarget(t, "a", func(conn net.Conn, request *http.Request, _ []byte) {
+		<-begin
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n", testID, request.Header.Get(testID), testSigned, size)
+		_, _ = conn.Write(make([]byte, maxBufferedResponse))
+		time.Sleep(100 * time.Millisecond)
+		_, _ = conn.Write(make([]byte, size-maxBufferedResponse))
+	})
+	var once sync.Once
+	h := newLoggedHarness(t, hookHandler{Handler: slog.DiscardHandler, hook: func(decision, _ string) {
+		if decision == string(drain.Ended) {
+			// The response comes between the decision and the end.
+			once.Do(func() { close(begin); time.Sleep(100 * time.Millisecond) })
+		}
+	}}, target)
+	result := h.callAsync(t, "/upload/x")
+	h.eventually(t, func() bool { return h.received() == 1 })
+	h.stop(t, 500*time.Millisecond)
+	got := <-result
+	is.NoErr(got.err)
+	if got.status == http.StatusOK {
+		is.NoErr(got.bodyErr)
+		is.Equal(len(got.body), size)
+	}
+}
+
+// closingGuard ends a request by the stop at the last moment before it is sent.
+type closingGuard struct {
+	testGuard
+	hook atomic.Pointer[func()]
+}
+
+func (g *closingGuard) MayRun(exchange *ferry.Exchange) bool {
+	if hook := g.hook.Load(); hook != nil {
+		(*hook)()
+	}
+	return g.testGuard.MayRun(exchange)
+}
+
+// A request that a stop has ended while it waited is not sent: it could be refused as not run.
+func TestRequestEndedByStopIsNotSent(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	target := startTarget(t, "a", respondOK)
+	h := newHarness(t, target)
+	guard := &closingGuard{}
+	h.forwarder.guard = guard
+	h.grace.Begin(h.forwarder.clock.Now(), 2*time.Second)
+	hook := func() {
+		h.server.Passages().EndOverdue(t.Context(), h.forwarder.clock.Now().Add(1500*time.Millisecond))
+	}
+	guard.hook.Store(&hook)
+	got := h.call(t.Context(), http.MethodPost, "/upload/x", "b")
+	is.NoErr(got.err)
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(int(target.requests.Load()), 0)
+	checkRefusedByStop(t, got)
+}
+
+// What is sent in the grace period leaves its target some time to answer.
+func TestRequestWithoutTimeForItsTargetIsNotSentByStop(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	target := startTarget(t, "a", respondOK)
+	h := newHarness(t, target)
+	h.grace.Begin(h.forwarder.clock.Now(), time.Second)
+	h.eventually(t, func() bool { left, _ := h.grace.Left(h.forwarder.clock.Now()); return left < 100*time.Millisecond })
+	// A caller that waits for less than what is left of the time of targets.
+	got := h.call(t.Context(), http.MethodGet, "/safe/x", "", testDeadline, "50")
+	if target.requests.Load() > 0 {
+		milliseconds, err := strconv.Atoi(target.header().Get(testDeadline))
+		is.NoErr(err)
+		is.True(milliseconds >= 5) // a tenth of the caller's
+		return
+	}
+	is.Equal(got.status, http.StatusServiceUnavailable)
+}
+
+// A hedge that a stop doesn't send is no refusal of its request.
+func TestHedgeNotSentByStopIsNotCountedAsRefusal(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	target := startTarget(t, "a", func(conn net.Conn, request *http.Request, body []byte) {
+		time.Sleep(700 * time.Millisecond)
+		respondOK(conn, request, body)
+	})
+	other := startTarget(t, "b", respondOK)
+	other.target.Place = "far"
+	log := &lockedBuffer{}
+	h := newLoggedHarness(t, slog.NewTextHandler(log, nil), target, other)
+	h.chooser.Update(0, []ferry.Target{target.target})
+	for range 20 {
+		h.forwarder.latencies.Histogram("safe").Add(600*time.Millisecond, 10)
+	}
+	result := make(chan callResult, 1)
+	go func() { result <- h.call(t.Context(), http.MethodGet, "/safe/x", "") }()
+	h.eventually(t, func() bool { return h.received() == 1 })
+	h.chooser.Update(0, []ferry.Target{target.target, other.target})
+	h.stop(t, 1100*time.Millisecond)
+	got := <-result
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(len(log.linesWith("request while stopping", "decision=Refused")), 0)
+	var metrics bytes.Buffer
+	h.metrics.WritePrometheus(&metrics)
+	is.True(!strings.Contains(metrics.String(), `ferry_stop_decisions_total{decision="Refused"}`))
+}
+
+// Whatever a stop meets, a request whose caller is told "not run" has not run and doesn't
+// run later, and every caller gets an answer.
+func TestRefusedByStopMeansNotRun(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			testRefusedMeansNotRun(t, rand.New(rand.NewPCG(36, seed)))
+		})
+	}
+}
+
+func testRefusedMeansNotRun(t *testing.T, random *rand.Rand) {
+	t.Helper()
+	var mu sync.Mutex
+	runs := map[string]int{}
+	pick := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
+	script := func(conn net.Conn, request *http.Request, body []byte) {
+		id := request.Header.Get(testID)
+		kind := pick(10)
+		if kind >= 4 {
+			mu.Lock()
+			runs[id]++
+			mu.Unlock()
+		}
+		time.Sleep(time.Duration(pick(60)) * time.Millisecond)
+		switch kind {
+		case 0, 1:
+			respondFull(conn, request, body)
+		case 2:
+			respondIdleShed(conn, request, body)
+		case 3:
+			respondFull(conn, request, body)
+			_ = conn.Close()
+		case 4:
+			_ = conn.Close()
+		case 5:
+			time.Sleep(time.Duration(pick(700)) * time.Millisecond)
+			respondOK(conn, request, body)
+		default:
+			respondOK(conn, request, body)
+		}
+	}
+	h := newHarness(t, startTarget(t, "a", script), startTarget(t, "b", script), startTarget(t, "c", script))
+	type answer struct {
+		id string
+		callResult
+	}
+	var answers []answer
+	var group sync.WaitGroup
+	for i := range 24 {
+		group.Go(func() {
+			for j := range 40 {
+				path := []string{"/safe/", "/unsafe/", "/upload/"}[pick(3)] + strconv.Itoa(i) + "-" + strconv.Itoa(j)
+				got := h.call(t.Context(), http.MethodPost, path, "b", testDeadline, strconv.Itoa(100+pick(2000)))
+				mu.Lock()
+				answers = append(answers, answer{id: "id-" + path, callResult: got})
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(time.Duration(200+pick(300)) * time.Millisecond)
+	h.stop(t, time.Duration(500+pick(700))*time.Millisecond)
+	group.Wait()
+	time.Sleep(100 * time.Millisecond)
+	mu.Lock()
+	defer mu.Unlock()
+	statuses := map[int]int{}
+	for _, a := range answers {
+		statuses[a.status]++
+		if a.err != nil {
+			t.Errorf("%s: no answer: %v", a.id, a.err)
+		}
+		isPromise := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests || a.status == http.StatusRequestTimeout
+		if isPromise && runs[a.id] > 0 {
+			t.Errorf("%s: status %d, and it ran %d times", a.id, a.status, runs[a.id])
+		}
+		if !strings.HasPrefix(a.id, "id-/safe/") && runs[a.id] > 1 {
+			t.Errorf("%s ran %d times", a.id, runs[a.id])
+		}
+	}
+	t.Logf("statuses %v", statuses)
+}
