host, proxy: a stopping VM takes, sends and ends requests by what is left of its grace period

Callers saw, with monsoonferry serve: the stop waited without an end, so the process was killed with requests on their way. A request on a kept connection whose response was in progress at the signal, one whose header, body, queue or retry ended late, and one at its target ended without an answer.

No step between the arrival of a request and the send looked at the time that the VM still has; awaitDrain had no end, http.Server.Shutdown closes connections on which a request has just been read, and a body that stood still held up the end of its request (replayBody keeps its lock while it reads, so newFailure waited for it).

Change: Host uses drain.Listener, drain.Grace and drain.Stop. proxy.StopFilter and the Forwarder refuse before each send what can't be answered in time; Passages ends what waits as soon as that is known (503, NotRun) and what is at a target when the time of targets is over (504, Unknown). Reads of a body end with the time of its request. The deadline that targets get ends with the grace period. Every decision is a line "request while stopping" and counts in ferry_stop_decisions_total. Connections of HTTP/2 that are left over end by Shutdown, which tells callers what is not taken any more.

--- a/host/callers.go
+++ b/host/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"net"
@@ -35,24 +34,24 @@
 	place   ferry.PlaceID
 	next    *proxy.Server
 	control *controlLoop
+	grace   *drain.Grace
 
 	inFlight atomic.Int64
 	total    atomic.Uint64
-	draining atomic.Bool
 
 	mu    sync.Mutex
 	drain drain.Controller
 }
 
-func newCallerServer(place ferry.PlaceID, next *proxy.Server, control *controlLoop) *callerServer {
-	return &callerServer{place: place, next: next, control: control, drain: drain.Controller{EntryLifetime: entry.Lifetime}}
+func newCallerServer(place ferry.PlaceID, next *proxy.Server, control *controlLoop, grace *drain.Grace) *callerServer {
+	return &callerServer{place: place, next: next, control: control, grace: grace, drain: drain.Controller{EntryLifetime: entry.Lifetime}}
 }
 
 // ServeHTTP implements http.Handler.
 func (c *callerServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
-	if c.draining.Load() {
+	if c.grace.IsStopping() {
 		writer.Header().Set("Connection", "close")
 	}
 	if request.URL.Path == entryPath {
@@ -99,13 +98,21 @@
 	}
 }
 
-// serve accepts callers until ctx ends.
-func (c *callerServer) serve(ctx context.Context, listener net.Listener, config *tls.Config) error {
-	server := &http.Server{
-		Handler: c, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+// serve accepts callers until ctx ends. A planned stop has served or refused all requests
+// by then, or its grace period is over.
+func (c *callerServer) serve(ctx context.Context, connections *callerConnections) error {
+	defer context.AfterFunc(ctx, func() {
+		if c.grace.IsStopping() {
+			_ = connections.server.Close()
+		}
+	})()
+	err := serveHTTP(ctx, connections.server, connections.listener)
+	if !errors.Is(err, net.ErrClosed) || !c.grace.IsStopping() {
+		return err
 	}
-	server.TLSConfig = config
-	return serveHTTP(ctx, server, listener)
+	// The planned stop goes on without the listener.
+	<-ctx.Done()
+	return connections.server.Close()
 }
 
 // serveHTTP runs a server until ctx ends and then lets its requests finish.
@@ -129,7 +136,6 @@
 func (c *callerServer) beginDrain(now ferry.Moment) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.draining.Store(true)
 	c.drain.Begin(now)
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -7,7 +7,7 @@
 	"encoding/hex"
 	"log/slog"
 	"net"
-	"time"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -17,8 +17,8 @@
 	"monsoonferry.org/ferry/auth"
 	"monsoonferry.org/ferry/cert"
 	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/limit"
-	"monsoonferry.org/ferry/member"
 	"monsoonferry.org/ferry/peer"
 	"monsoonferry.org/ferry/proxy"
 	"monsoonferry.org/ferry/queue"
@@ -36,11 +36,14 @@
 	metrics      *metrics.Set
 	mesh         *peer.Mesh
 	callers      *callerServer
+	requests     *proxy.Server
+	grace        drain.Grace
 	requestQueue *queue.FairQueue
 
 	control        *controlLoop
 	allowance      *allowanceLoop
 	detection      *detectionLoop
+	drainOnce      sync.Once
 	drainRequested chan struct{}
 	callerTLS      *cert.Source
 }
@@ -49,7 +52,7 @@
 func New(settings conf.Settings, clock ferry.Clock, logger Logger, store ferry.Store, dialer ferry.Dialer, set *metrics.Set) (h *Host, err error) {
 	h = &Host{
 		settings: settings, clock: clock, log: logger.Log, level: logger.Level, store: store, metrics: set,
-		drainRequested: make(chan struct{}, 1),
+		drainRequested: make(chan struct{}),
 	}
 	if h.callerTLS, err = cert.Load(settings.CallerTLS); err != nil {
 		return nil, err
@@ -80,13 +83,14 @@
 	h.requestQueue = queue.NewFairQueue(picker, h.clock)
 	forwarder := proxy.NewForwarder(proxy.Config{
 		Queue: h.requestQueue, Limiter: h.allowance.pools, Observer: h.detection, Snapshots: h.control,
-		Budgets: &retry.Budgets{}, Clock: h.clock, Log: h.log, Metrics: counters,
+		Budgets: &retry.Budgets{}, Clock: h.clock, Log: h.log, Metrics: counters, Grace: &h.grace,
 	})
 	chain := ferry.Chain(forwarder,
-		proxy.RouteFilter{}, auth.Filter{}, proxy.BodyFilter{},
+		proxy.RouteFilter{}, auth.Filter{}, proxy.StopFilter{Forwarder: forwarder}, proxy.BodyFilter{},
 		proxy.LimitFilter{Limiter: h.allowance.pools, Clock: h.clock})
-	server := proxy.NewServer(chain, h.control, h.clock, newRequestID, h.log, counters)
-	h.callers = newCallerServer(h.settings.Place, server, h.control)
+	h.requests = proxy.NewServer(chain, h.control, h.clock, newRequestID, h.log, counters)
+	h.requests.SetGrace(&h.grace)
+	h.callers = newCallerServer(h.settings.Place, h.requests, h.control, &h.grace)
 }
 
 // newIncarnation returns a number that no earlier process of the VM had.
@@ -133,6 +137,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(ctx)
+	connections := newCallerConnections(h.callers, listeners.Callers, h.callerTLS.CallerConfig())
 	group.Go(func() error { return h.mesh.Serve(groupCtx, listeners.Peers) })
 	group.Go(func() error { return h.control.run(groupCtx) })
 	group.Go(func() error { return h.allowance.run(groupCtx) })
@@ -146,11 +151,12 @@
 	})
 	group.Go(func() error { return h.requestQueue.Run(groupCtx) })
 	group.Go(func() error { return h.serveAdmin(groupCtx, listeners.Admin) })
-	group.Go(func() error { return h.callers.serve(groupCtx, listeners.Callers, h.callerTLS.CallerConfig()) })
+	group.Go(func() error { return h.callers.serve(groupCtx, connections) })
 	group.Go(func() error {
 		// A complete planned stop ends all other goroutines.
 		defer cancel()
-		return h.awaitDrain(groupCtx)
+		h.awaitDrain(groupCtx, connections)
+		return nil
 	})
 	h.log.Info("serving", slog.String("callers", listeners.Callers.Addr().String()), slog.String("peers", listeners.Peers.Addr().String()))
 	return group.Wait()
@@ -189,38 +195,5 @@
 	}
 }
 
-// Drain starts the planned stop. Later calls have no effect.
-func (h *Host) Drain() {
-	select {
-	case h.drainRequested <- struct{}{}:
-	default:
-	}
-}
-
-// awaitDrain waits for a call of Drain and then performs the planned stop.
-func (h *Host) awaitDrain(ctx context.Context) error {
-	select {
-	case <-h.drainRequested:
-	case <-ctx.Done():
-		return nil
-	}
-	h.log.Info("planned stop begun")
-	h.control.post(ctx, controlEvent{member: member.LeaveEvent{}})
-	h.callers.beginDrain(h.clock.Now())
-	ticker := time.NewTicker(controlTickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			if h.callers.isDrained(h.clock.Now()) {
-				h.log.Info("planned stop complete")
-				return nil
-			}
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 // Snapshot returns the configuration in force for client requests, or nil.
 func (h *Host) Snapshot() ferry.Snapshot { return h.control.Snapshot() }
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -41,7 +41,12 @@
 	inventory *ferry.Inventory
 	vms       []*testVM
 	peerTLS   conf.TLSFiles
+	callerTLS conf.TLSFiles
 	network   fake.Network
+	// gracePeriod is the grace period of the VMs, or zero for the default.
+	gracePeriod time.Duration
+	// logHandler gets the log of the VMs, or is nil.
+	logHandler slog.Handler
 }
 
 // testVM is one VM of a test fleet.
@@ -126,7 +131,7 @@
 			ID: ferry.VMID(fmt.Sprintf("vm-%d", i)), Place: f.inventory.Places[i%len(f.inventory.Places)].ID,
 			Callers: freePort(f.t), Peers: freePort(f.t), Admin: freePort(f.t),
 			Platform:    []netip.AddrPort{netip.MustParseAddrPort(f.server.Listener.Addr().String())},
-			OperatorKey: ferry.HashKey("operator"), PlainText: true, PeerTLS: f.peerTLS,
+			OperatorKey: ferry.HashKey("operator"), PlainText: true, PeerTLS: f.peerTLS, CallerTLS: f.callerTLS, GracePeriod: f.gracePeriod,
 		}})
 	}
 	f.publish()
@@ -156,6 +161,9 @@
 func (f *testFleet) launch(v *testVM) {
 	f.t.Helper()
 	logger := Logger{Log: slog.New(slog.DiscardHandler), Level: &slog.LevelVar{}}
+	if f.logHandler != nil {
+		logger.Log = slog.New(f.logHandler)
+	}
 	host, err := New(v.settings, ferry.NewSystemClock(), logger, unreachableStore{Store: store.NewClient(v.settings.Platform), isUnreachable: &v.isPlatformUnreachable}, f.network.Dialer(v.listEntry()), metrics.NewSet())
 	if err != nil {
 		f.t.Fatal(err)
--- a/host/report.go
+++ b/host/report.go
@@ -25,7 +25,7 @@
 	usage := h.allowance.usage.Load()
 	status := admin.Status{
 		ID: h.settings.ID, Place: h.settings.Place, Stamp: h.control.stamp.Load().String(),
-		Ready: h.control.snapshot.Load() != nil, Leaving: h.callers.draining.Load(),
+		Ready: h.control.snapshot.Load() != nil, Leaving: h.grace.IsStopping(),
 		Reader: h.control.isReader.Load(), LogLevel: h.level.Level().String(),
 		Members: len(view.Members), Up: len(view.Holders()),
 		Allowance: admin.Allowance{
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 )
 
 // attempt is one request to one target, up to the head of its response.
@@ -21,6 +22,8 @@
 	pick         ferry.Pick
 	stallTimeout time.Duration
 	body         *attemptBody
+	clock        ferry.Clock
+	grace        *drain.Grace
 
 	cancel        context.CancelCauseFunc
 	conn          atomic.Pointer[countedConn]
@@ -80,7 +83,8 @@
 		header.Set(ferry.HeaderAccount, string(a.exchange.Account.ID))
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		header.Set(ferry.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+		remaining := a.grace.TargetTime(a.clock.Now(), time.Until(deadline))
+		header.Set(ferry.HeaderDeadline, strconv.FormatInt(remaining.Milliseconds(), 10))
 	}
 	if _, ok := header["User-Agent"]; !ok {
 		// An empty value keeps net/http from adding its own.
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -125,6 +126,8 @@
 // read, so that the read fails if the caller makes no progress. It clears the
 // deadline at the end of the body, as the server keeps monitoring the connection.
 type timedReader struct {
+	// ctx ends with the time of the request; reads fail then.
+	ctx        context.Context //nolint:containedctx // It is the request's, as the reader is.
 	body       io.Reader
 	controller *http.ResponseController
 }
@@ -134,6 +137,9 @@
 	if err := r.controller.SetReadDeadline(time.Now().Add(callerStallTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, err
 	}
+	if r.ctx.Err() != nil {
+		interruptRead(r.controller)
+	}
 	var n int
 	var err error
 	if n, err = r.body.Read(buffer); err != nil {
@@ -142,6 +148,12 @@
 	return n, err
 }
 
+// interruptRead ends a read of the caller's connection that is in progress.
+func interruptRead(controller *http.ResponseController) {
+	// Without support for deadlines, the read waits for bytes of the caller.
+	_ = controller.SetReadDeadline(time.Unix(0, 1))
+}
+
 // keyCheck returns a function that returns an error once the key of the exchange
 // no longer belongs to its client account.
 func keyCheck(exchange *ferry.Exchange, snapshots Snapshots) func() error {
--- a/proxy/filter.go
+++ b/proxy/filter.go
@@ -73,7 +73,12 @@
 	if request.ContentLength > limit {
 		return newRefusal(http.StatusRequestEntityTooLarge, ferry.ReasonBodyTooLarge, "the body is larger than the route allows")
 	}
-	request.Body = http.MaxBytesReader(exchange.Writer, request.Body, limit)
+	writer := exchange.Writer
+	if wrapper, ok := writer.(interface{ Unwrap() http.ResponseWriter }); ok {
+		// MaxBytesReader knows the writer of package http only.
+		writer = wrapper.Unwrap()
+	}
+	request.Body = http.MaxBytesReader(writer, request.Body, limit)
 	return next.Handle(ctx, exchange)
 }
 
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -10,7 +10,9 @@
 
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/auth"
+	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/retry"
+	"monsoonferry.org/ferry/timing"
 )
 
 // Snapshots provides the configuration in force.
@@ -24,7 +26,7 @@
 	Release(now ferry.Moment, pick ferry.Pick, result ferry.Result)
 }
 
-// Config holds the dependencies of a Forwarder. All fields are required.
+// Config holds the dependencies of a Forwarder. All fields but Grace are required.
 type Config struct {
 	Queue     Queue
 	Limiter   ferry.Limiter
@@ -34,17 +36,21 @@
 	Clock     ferry.Clock
 	Log       *slog.Logger
 	Metrics   *Metrics
+	// Grace is the grace period of planned stops, or nil if the VM never stops.
+	Grace *drain.Grace
 }
 
 // Forwarder is the end of the filter chain. It sends requests to targets.
 type Forwarder struct {
 	config    Config
 	transport http.RoundTripper
+	latencies timing.Routes
+	stopLog   drain.Log
 }
 
 // NewForwarder returns a Forwarder with its own connections to targets.
 func NewForwarder(config Config) *Forwarder {
-	return &Forwarder{config: config, transport: newTransport()}
+	return &Forwarder{config: config, transport: newTransport(), stopLog: newStopLog(config.Log, config.Metrics)}
 }
 
 // requestState is the state that the attempts for one request share.
@@ -76,11 +82,13 @@
 // Handle implements ferry.Handler.
 func (f *Forwarder) Handle(ctx context.Context, exchange *ferry.Exchange) error {
 	service := exchange.Snapshot.Service(exchange.Route.Service)
+	controller := http.NewResponseController(exchange.Writer)
+	defer context.AfterFunc(ctx, func() { interruptRead(controller) })()
 	s := &requestState{
 		exchange: exchange,
 		service:  service,
 		body: &replayBody{
-			source:   timedReader{body: exchange.Request.Body, controller: http.NewResponseController(exchange.Writer)},
+			source:   timedReader{ctx: ctx, body: exchange.Request.Body, controller: controller},
 			checkKey: keyCheck(exchange, f.config.Snapshots),
 		},
 		budget:       f.config.Budgets.Budget(service.ID),
@@ -105,13 +113,16 @@
 	controller := http.NewResponseController(s.exchange.Writer)
 	s.body.close(func() {
 		// The connection is closed, as the rest of the body was not read.
-		_ = controller.SetReadDeadline(time.Unix(0, 1))
+		interruptRead(controller)
 	})
 	_ = controller.SetWriteDeadline(time.Time{})
 }
 
 // runAttempt makes one attempt and returns the step that follows it.
 func (f *Forwarder) runAttempt(ctx context.Context, s *requestState, number int) (next step, result ferry.Result, err error) {
+	if err = f.checkGrace(ctx, s); err != nil {
+		return stepEnd, result, err
+	}
 	var pick ferry.Pick
 	choice := ferry.Choice{Service: s.service.ID, Tried: s.triedTargets, Trial: s.isIdempotent}
 	if pick, err = f.config.Queue.Choose(ctx, s.exchange.Account, choice); err != nil {
@@ -122,7 +133,15 @@
 	if err = f.authorize(ctx, s); err != nil {
 		return stepEnd, result, withOutcome(err, s.worstOutcome)
 	}
-	a := &attempt{exchange: s.exchange, pick: pick, stallTimeout: s.service.Rules.StallAfter, body: s.body.nextAttempt()}
+	// The request may have waited since the last check.
+	if err = f.checkGrace(ctx, s); err != nil {
+		return stepEnd, result, err
+	}
+	f.notePassage(ctx, pick.Target)
+	a := &attempt{
+		exchange: s.exchange, pick: pick, stallTimeout: s.service.Rules.StallAfter, body: s.body.nextAttempt(),
+		clock: f.config.Clock, grace: f.config.Grace,
+	}
 	var response *http.Response
 	response, result = a.send(ctx, f.transport)
 	if result.Verdict != ferry.VerdictShed {
@@ -132,12 +151,15 @@
 	next = f.nextStep(ctx, s, number, result)
 	switch {
 	case next == stepEnd:
-		result.Verdict, err = f.streamResponse(a, response, result.Verdict)
+		result.Verdict, err = f.streamResponse(ctx, a, response, result.Verdict)
 	case response != nil:
 		a.cancel(nil)
 		_ = response.Body.Close()
 	}
 	s.worstOutcome = max(s.worstOutcome, result.Outcome)
+	if s.worstOutcome.IsSafeToRetry() {
+		drain.PassageOf(ctx).Enter(drain.StageWaiting)
+	}
 	f.config.Observer.Observe(f.config.Clock.Now(), pick.Target, result)
 	f.logAttempt(s, pick, number, result)
 	return next, result, err
@@ -154,6 +176,10 @@
 		return f.nextStepAfterShed(ctx, s)
 	}
 	isRetryable := number < retry.MaxAttempts && ctx.Err() == nil && retry.IsRetryable(s.isIdempotent, result)
+	if isRetryable && hasResponse && !f.config.Grace.Admits(f.config.Clock.Now(), f.demand(s.exchange).At(f.config.Clock.Now())) {
+		// The error response is all that the caller can still get.
+		isRetryable = false
+	}
 	if isRetryable && s.body.canReplay() && s.budget.TryWithdraw() {
 		return stepRetry
 	}
@@ -218,6 +244,9 @@
 
 // newFailure returns the refusal after the last attempt.
 func (f *Forwarder) newFailure(ctx context.Context, s *requestState, result ferry.Result) error {
+	if drain.IsEnded(ctx) {
+		return stopRefusal(s)
+	}
 	refusal := &ferry.RefusalError{
 		Status: http.StatusBadGateway, Reason: ferry.ReasonTargetFailed, Outcome: ferry.OutcomeNotRun,
 		Detail: "the last attempt ended with " + result.Verdict.String(),
@@ -229,6 +258,8 @@
 		refusal.Status, refusal.Reason = http.StatusRequestEntityTooLarge, ferry.ReasonBodyTooLarge
 	case errors.Is(callerError, errKeyWithdrawn):
 		refusal.Status, refusal.Reason = http.StatusUnauthorized, ferry.ReasonUnknownKey
+	case isTimeout(callerError) && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		refusal.Status, refusal.Reason = http.StatusGatewayTimeout, ferry.ReasonDeadline
 	case isTimeout(callerError):
 		refusal.Status, refusal.Reason = http.StatusRequestTimeout, ferry.ReasonMalformed
 	case callerError != nil:
@@ -249,7 +280,7 @@
 
 // streamResponse forwards the response to the caller and returns the final
 // verdict. It returns errTruncatedResponse if a part was not forwarded.
-func (f *Forwarder) streamResponse(a *attempt, response *http.Response, verdict ferry.Verdict) (ferry.Verdict, error) {
+func (f *Forwarder) streamResponse(ctx context.Context, a *attempt, response *http.Response, verdict ferry.Verdict) (ferry.Verdict, error) {
 	defer a.cancel(nil)
 	defer func() { _ = response.Body.Close() }()
 	writer := a.exchange.Writer
@@ -260,11 +291,13 @@
 	}
 	copyHeader(writer.Header(), response.Header)
 	writer.Header().Set(ferry.HeaderOutcome, ferry.OutcomeDone.String())
+	drain.PassageOf(ctx).Enter(drain.StageAnswered)
 	writer.WriteHeader(response.StatusCode)
 	source := &watchedBody{body: response.Body, stallTimeout: a.stallTimeout, cancel: a.cancel, checkKey: keyCheck(a.exchange, f.config.Snapshots)}
 	sink := &callerWriter{writer: writer, controller: http.NewResponseController(writer), mustFlush: response.ContentLength < 0}
 	if _, err := io.Copy(sink, source); err == nil {
 		copyHeader(writer.Header(), response.Trailer)
+		f.latencies.Histogram(a.exchange.Route.ID).Add(time.Since(a.started), 0)
 		return verdict, nil
 	}
 	f.config.Metrics.truncatedResponses.Inc()
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 )
 
 // Metrics counts the requests, attempts, refusals and truncated responses.
@@ -31,6 +32,11 @@
 	m.set.GetOrCreateCounter(name).Inc()
 }
 
+// countStopDecision counts a decision about a request while the VM stops.
+func (m *Metrics) countStopDecision(decision drain.Decision) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("ferry_stop_decisions_total{decision=%q}", decision)).Inc()
+}
+
 func (m *Metrics) countRefusal(refusal *ferry.RefusalError) {
 	name := fmt.Sprintf("ferry_refusals_total{reason=%q,outcome=%q}", refusal.Reason, refusal.Outcome)
 	m.set.GetOrCreateCounter(name).Inc()
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/drain"
 )
 
 // Server is the HTTP handler for callers.
@@ -24,23 +25,29 @@
 	newID     func() string
 	log       *slog.Logger
 	metrics   *Metrics
+	passages  drain.Passages
 }
 
 // NewServer returns a handler that passes requests through the chain. The
 // function newID returns a new request identifier at each call.
 func NewServer(chain ferry.Handler, snapshots Snapshots, clock ferry.Clock, newID func() string, log *slog.Logger, metrics *Metrics) *Server {
-	return &Server{chain: chain, snapshots: snapshots, clock: clock, newID: newID, log: log, metrics: metrics}
+	return &Server{
+		chain: chain, snapshots: snapshots, clock: clock, newID: newID, log: log, metrics: metrics,
+		passages: drain.Passages{Log: newStopLog(log, metrics)},
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	exchange := &ferry.Exchange{
-		Request: request, Writer: writer, ID: s.newID(),
+		Request: request, Writer: drain.ResponseWriter{ResponseWriter: writer, Grace: s.passages.Grace}, ID: s.newID(),
 		Arrived: s.clock.Now(), Snapshot: s.snapshots.Snapshot(),
 	}
 	body := request.Body
 	s.metrics.requests.Inc()
-	err := s.handle(request.Context(), exchange)
+	ctx, p := s.passages.Enter(request.Context(), exchange.ID, exchange.Arrived)
+	defer s.passages.Leave(p)
+	err := p.Result(ctx, s.handle(ctx, exchange))
 	s.metrics.duration.Update(s.clock.Now().Since(exchange.Arrived).Seconds())
 	if err == nil {
 		s.finish(writer, body)
@@ -51,7 +58,11 @@
 		s.log.Warn("aborted", slog.String("request", exchange.ID), slog.String("error", trace.UserMessage(err)))
 		panic(http.ErrAbortHandler)
 	}
-	if !drainBody(writer, body) {
+	if s.passages.Grace.IsStopping() {
+		// There is no time to wait for the rest of a body.
+		writer.Header().Set("Connection", "close")
+		_ = http.NewResponseController(writer).SetReadDeadline(time.Unix(1, 0))
+	} else if !drainBody(writer, body) {
 		writer.Header().Set("Connection", "close")
 	}
 	s.refuse(exchange, refusal)
