host, drain: a second signal answers the requests in progress before the process ends

Callers saw: a second SIGTERM cut every request without an answer or a log line.

Cause: it cancelled the context of the whole process at once.

Evidence: TestSecondSignalAnswersRequests; before, cmd/monsoonferry called cancel, and there was no other way to hurry a stop (the test does not compile on the parent).

Change: it shortens the grace period to half a second, in which requests get the same refusals as at the end of every planned stop. A third signal ends the process at once.

--- a/cmd/monsoonferry/main.go
+++ b/cmd/monsoonferry/main.go
@@ -62,7 +62,8 @@
 }
 
 // serve runs until the planned stop that SIGTERM or SIGINT starts is complete.
-// A second signal ends the process immediately.
+// A second signal refuses the requests in progress, and a third ends the process
+// immediately.
 func serve(ctx context.Context, path string) (err error) {
 	var text []byte
 	if text, err = os.ReadFile(path); err != nil {
@@ -78,12 +79,14 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	signals := make(chan os.Signal, 2)
+	signals := make(chan os.Signal, 3)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		h.Drain()
 		<-signals
+		h.Hurry()
+		<-signals
 		cancel()
 	}()
 	return h.Run(ctx)
--- a/drain/grace.go
+++ b/drain/grace.go
@@ -49,6 +49,21 @@
 	g.stop.CompareAndSwap(nil, &stop{startedAt: now, period: period})
 }
 
+// Shorten ends the grace period early: after the given time. It has no effect before the
+// grace period, nor if less is left.
+func (g *Grace) Shorten(now ferry.Moment, rest time.Duration) {
+	for {
+		old := g.stop.Load()
+		if old == nil {
+			return
+		}
+		period := now.LongestSince(old.startedAt) + rest
+		if period >= old.period || g.stop.CompareAndSwap(old, &stop{startedAt: old.startedAt, period: period}) {
+			return
+		}
+	}
+}
+
 // IsStopping reports whether the grace period has begun.
 func (g *Grace) IsStopping() bool { return g != nil && g.stop.Load() != nil }
 
--- a/drain/grace_test.go
+++ b/drain/grace_test.go
@@ -53,6 +53,20 @@
 	is.Equal(left, 1400*time.Millisecond)
 }
 
+func TestShortenedGraceEndsSooner(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var g Grace
+	g.Shorten(momentAt(0), time.Second) // without effect: no stop has begun
+	is.True(!g.IsStopping())
+	g.Begin(momentAt(0), 30*time.Second)
+	g.Shorten(momentAt(2*time.Second), time.Second)
+	g.Shorten(momentAt(2*time.Second), time.Minute) // without effect: less is left
+	remaining, isStopping := g.Remaining(momentAt(2 * time.Second))
+	is.True(isStopping)
+	is.Equal(remaining, time.Second)
+}
+
 // In a short grace period, too, requests get their refusals before the process exits.
 func TestShortGraceLeavesTimeForRefusals(t *testing.T) {
 	t.Parallel()
--- a/host/stop.go
+++ b/host/stop.go
@@ -18,6 +18,8 @@
 	// maxListenShare is the part of the grace period for which a VM that stops accepts
 	// connections at most.
 	maxListenShare = 0.5
+	// hurryTime is what is left of the grace period after Hurry.
+	hurryTime = 500 * time.Millisecond
 )
 
 // Drain starts the planned stop. Later calls have no effect.
@@ -28,6 +30,10 @@
 	})
 }
 
+// Hurry ends a planned stop early: requests in progress are refused, and the VM closes
+// within hurryTime.
+func (h *Host) Hurry() { h.grace.Shorten(h.clock.Now(), hurryTime) }
+
 // awaitDrain waits for a call of Drain and then performs the planned stop.
 func (h *Host) awaitDrain(ctx context.Context, connections *callerConnections) {
 	select {
--- a/host/stop_test.go
+++ b/host/stop_test.go
@@ -491,6 +491,26 @@
 	})
 }
 
+func TestSecondSignalAnswersRequests(t *testing.T) {
+	t.Parallel()
+	l := newStopLab(t, stopOptions{slots: 1})
+	atTarget, waiting := l.connect(), l.connect()
+	sent := atTarget.sendOrder(longWork)
+	time.Sleep(settleTime)
+	l.stop()
+	queued := waiting.sendOrder(longWork)
+	time.Sleep(settleTime)
+	l.vm.host.Hurry()
+	waiting.checkRefused(waiting.read(), queued)
+	response := atTarget.read()
+	l.is.True(response != nil)
+	l.is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+	l.is.Equal(response.Header.Get(ferry.HeaderOutcome), "Unknown")
+	l.is.Equal(l.target.runsOf(sent), 1)
+	l.is.NoErr(<-l.vm.done)
+	l.is.True(time.Since(l.stoppedAt) < settleTime+2*hurryTime)
+}
+
 // lockedLog is a log that may be read while it is written.
 type lockedLog struct {
 	mu     sync.Mutex
