relay: a head of many short fields ends the attempt after 256 lines

What callers saw: a VM in front of targets whose responses begin with a head of some thousand short fields ran out of memory, and the requests of all its callers ended with the process.

Cause: a head was bounded by 16 KB of bytes only. Parsed, it is a map with an entry for each field, and the caller's copy is a second one: 15 KB as sent are about 300 KB, twice that while the body is streamed. No budget counts heads, and a target that then sends slowly, or a caller that doesn't read, keeps it.

Change: relay/conn.go counts the lines of a head as they are read, also those that came with the response before; beyond maxHeadLines the attempt ends at once like one beyond maxHeadBytes, with its own error in the "attempt" line and ferry_target_excess_total. An error of the limits is no longer hidden by the one of package http about the line that was cut.

Why it works: what is held of a head is now bounded by 16 KB of text and 256 entries.

--- a/crowd/lab_test.go
+++ b/crowd/lab_test.go
@@ -70,6 +70,8 @@
 	logPath string
 	process *exec.Cmd
 	exited  chan struct{}
+	// seeds are the control addresses of other VMs.
+	seeds []string
 	// release ends the requests that targets hold.
 	release         chan struct{}
 	peakDescriptors atomic.Int64
@@ -82,17 +84,33 @@
 
 func startLab(t testing.TB) *lab {
 	t.Helper()
-	l := &lab{t: t, host: fmt.Sprintf("127.32.7.%d", nextHost.Add(1)), exited: make(chan struct{}), release: make(chan struct{})}
+	l := newLab(t)
+	l.start(startStore(t, l.items()))
+	return l
+}
+
+// newLab returns a lab whose VM isn't started.
+func newLab(t testing.TB) *lab {
+	return &lab{t: t, host: fmt.Sprintf("127.32.7.%d", nextHost.Add(1)), exited: make(chan struct{}), release: make(chan struct{})}
+}
+
+// items starts the targets and returns what the store holds.
+func (l *lab) items() map[string]any {
 	items := map[string]any{"op/config": configuration()}
 	for i := range 4 {
 		id := fmt.Sprintf("i-%d", i)
 		items["servers/"+id] = l.startTarget(id)
 	}
-	l.startProcess(startStore(t, items))
-	t.Cleanup(l.stop)
+	return items
+}
+
+// start starts the VM and waits until it serves.
+func (l *lab) start(store string) {
+	l.t.Helper()
+	l.startProcess(store)
+	l.t.Cleanup(l.stop)
 	l.await("readiness", func() error { return l.get(readyPort, "/-/ready") })
 	l.await("the first ordinary request", l.ordinary)
-	return l
 }
 
 func (l *lab) stop() {
@@ -112,7 +130,7 @@
 	l.t.Helper()
 	settings, err := json.Marshal(map[string]any{
 		"ID": "vm-1", "Place": "place-1", "Places": map[string]string{"place-1": "region-1"}, "Address": l.host,
-		"PeerPorts": []int{7660, 7675}, "Seeds": []string{l.address(controlPort)}, "Store": store,
+		"PeerPorts": []int{7660, 7675}, "Seeds": append([]string{l.address(controlPort)}, l.seeds...), "Store": store,
 		"Listen": map[string]string{
 			"Callers": l.address(callerPort), "Ready": l.address(readyPort), "Control": l.address(controlPort), "Directory": l.address(directoryPort),
 		},
@@ -285,19 +303,25 @@
 }
 
 func configuration() any {
-	route := func(name, prefix, kind string) map[string]any {
+	route := func(name, prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": name, "host": "shop.example", "prefix": prefix, "kind": kind, "timeoutMs": 60000, "targetLatencyMs": 800,
-			"priority": 1, "service": "orders", "maxAttempts": 2, "public": false,
+			"priority": 1, "service": service, "maxAttempts": 2, "public": false,
 		}
 	}
+	service := func(name string) map[string]any {
+		return map[string]any{"name": name, "healthPath": "/health", "maxConnections": 330, "protocol": "h1", "tls": false}
+	}
 	account := func(name string) map[string]any {
 		return map[string]any{"name": name, "apiKeys": []string{"key-" + name}, "priority": 1, "ratePerS": 100000, "burst": 100000}
 	}
 	return map[string]any{
 		"version": "r2", "baseVersion": "r1",
-		"routes":   []any{route("r-1", "/orders/", "unsafe"), route("r-2", "/down/", "safe"), route("r-3", "/up/", "upload")},
-		"services": []any{map[string]any{"name": "orders", "healthPath": "/health", "maxConnections": 330, "protocol": "h1", "tls": false}},
+		"routes": []any{
+			route("r-1", "/orders/", "unsafe", "orders"), route("r-2", "/down/", "safe", "orders"), route("r-3", "/up/", "upload", "orders"),
+			route("r-4", "/faulty/", "unsafe", "faulty"), route("r-5", "/faulty-safe/", "safe", "faulty"),
+		},
+		"services": []any{service("orders"), service("faulty")},
 		"limits":   map[string]any{"maxHeaderBytes": maxHeaderBytes, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 10000, "idleTimeoutMs": 30000},
 		"tenants":  []any{account("ordinary"), account("crowd")},
 	}
@@ -313,9 +337,14 @@
 	server := &http.Server{Handler: &target{id: id, release: l.release}, ReadHeaderTimeout: answerLimit}
 	go func() { _ = server.Serve(listener) }()
 	l.t.Cleanup(func() { _ = server.Close() })
+	return targetRecord(listener.Addr(), "orders")
+}
+
+// targetRecord returns the record of a target.
+func targetRecord(address net.Addr, service string) any {
 	return map[string]any{
-		"address": listener.Addr().String(), "born": 1700000000000,
-		"info":   map[string]any{"service": "orders", "version": "v1", "zone": "place-1", "capacity": 1000},
+		"address": address.String(), "born": 1700000000000,
+		"info":   map[string]any{"service": service, "version": "v1", "zone": "place-1", "capacity": 1000},
 		"status": map[string]any{"state": "ready", "sequence": 4, "coldRemainingMs": 0},
 	}
 }
@@ -357,12 +386,17 @@
 // startStore starts a store whose records don't change, and returns its address.
 func startStore(t testing.TB, items map[string]any) string {
 	t.Helper()
+	return serve(t, storeHandler(items))
+}
+
+// storeHandler returns the handler of a store whose records don't change.
+func storeHandler(items map[string]any) http.Handler {
 	const revision = 7
 	documents := map[string]map[string]any{}
 	for key, item := range items {
 		value, err := json.Marshal(item)
 		if err != nil {
-			t.Fatal(err)
+			panic(err)
 		}
 		documents[key] = map[string]any{"key": key, "value": value, "revision": revision, "created": revision, "lease": 0, "asOf": revision}
 	}
@@ -402,11 +436,17 @@
 		case <-r.Context().Done():
 		}
 	})
+	return mux
+}
+
+// serve starts a server and returns its address.
+func serve(t testing.TB, handler http.Handler) string {
+	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: answerLimit}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: answerLimit}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -326,10 +326,13 @@
 func (f *Forwarder) readResponse(exchange *ferry.Exchange, hold *flight.Hold, connection *conn, a *attempt) {
 	for range maxStrayResponses + 1 {
 		// The body is read here or closed with the connection.
-		connection.limit.begin(maxHeadBytes)
+		if err := connection.beginHead(); err != nil {
+			a.setError(err)
+			return
+		}
 		response, err := http.ReadResponse(connection.reader, exchange.Request) //nolint:bodyclose // the connection is closed instead
 		connection.limit.end()
-		if err != nil {
+		if err = connection.limit.cause(err); err != nil {
 			a.setError(err)
 			return
 		}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -34,6 +34,9 @@
 	// maxHeadBytes bounds the status line and the header of one response, in bytes.
 	// Trailers and chunk extensions are bounded by package http.
 	maxHeadBytes = 16 << 10
+	// maxHeadLines bounds the lines of one head: a field that was read takes about 70
+	// bytes beside its text, and twice that once it is copied for the caller.
+	maxHeadLines = 256
 	// maxStrayBytes bounds the body of a response to another request as it is sent,
 	// in bytes.
 	maxStrayBytes = 128 << 10
@@ -42,6 +45,9 @@
 // errTooManyBytes reports that a target sent more than a readLimit allows.
 var errTooManyBytes = errors.New("the target sent too many bytes that are no body for the caller")
 
+// errTooManyLines reports that a target sent a head of more than maxHeadLines.
+var errTooManyLines = errors.New("the target sent a head of too many lines")
+
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
@@ -76,11 +82,54 @@
 	// isActive reports that only left bytes may follow.
 	isActive bool
 	left     int
+	// isHead reports that the end of the head has not been read, which may have
+	// linesLeft further lines. isLineEmpty is set between two lines.
+	isHead, isLineEmpty bool
+	linesLeft           int
+	// excess is the error of the limit that was exceeded, or nil.
+	excess error
 }
 
 // begin allows a number of further bytes, and end any number.
 func (l *readLimit) begin(bytes int) { l.isActive, l.left = true, bytes }
-func (l *readLimit) end()            { l.isActive = false }
+func (l *readLimit) end()            { l.isActive, l.isHead = false, false }
+
+// beginHead allows one head, whose beginning was read before.
+func (l *readLimit) beginHead(beginning []byte) error {
+	l.begin(maxHeadBytes)
+	l.isHead, l.isLineEmpty, l.linesLeft = true, false, maxHeadLines
+	return l.countLines(beginning)
+}
+
+// countLines counts lines up to the empty one that ends the head.
+func (l *readLimit) countLines(p []byte) error {
+	for _, b := range p {
+		switch {
+		case !l.isHead:
+			return nil
+		case b == '\n' && l.isLineEmpty:
+			l.isHead = false
+		case b == '\n':
+			l.isLineEmpty = true
+			if l.linesLeft--; l.linesLeft < 0 {
+				l.excess = errTooManyLines
+				return l.excess
+			}
+		case b != '\r':
+			l.isLineEmpty = false
+		}
+	}
+	return nil
+}
+
+// cause returns the error of the limit that was exceeded, or err: package http reports
+// the line that was cut by the limit as malformed.
+func (l *readLimit) cause(err error) error {
+	if l.excess != nil {
+		return l.excess
+	}
+	return err
+}
 
 // Read implements io.Reader.
 func (l *readLimit) Read(p []byte) (int, error) {
@@ -88,13 +137,26 @@
 		return l.source.Read(p)
 	}
 	if l.left == 0 {
-		return 0, errTooManyBytes
+		l.excess = errTooManyBytes
+		return 0, l.excess
 	}
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if lineErr := l.countLines(p[:n]); lineErr != nil {
+		return n, lineErr
+	}
 	return n, err
 }
 
+// beginHead allows the bytes and the lines of one head.
+func (c *conn) beginHead() error {
+	beginning, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.limit.beginHead(beginning)
+}
+
 // isIdle reports whether the connection is open and has no bytes to read. Bytes
 // that arrive on an idle connection belong to no request.
 func (c *conn) isIdle() bool {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -38,12 +39,24 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_connections_total{reused="%t"}`, a.isReused)).Inc()
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_attempts_total{kind=%q,distance=%q,verdict=%q,outcome=%q}`,
 		kindLabel(route), distance, a.verdict, a.outcome)).Inc()
+	switch {
+	case errors.Is(a.err, errTooManyBytes):
+		m.countExcess("Bytes")
+	case errors.Is(a.err, errTooManyLines):
+		m.countExcess("Lines")
+	}
 	if a.verdict == ferry.VerdictGood {
 		m.set.GetOrCreateHistogram(fmt.Sprintf(`ferry_attempt_duration_seconds{kind=%q,distance=%q}`, kindLabel(route), distance)).
 			Update(took.Seconds())
 	}
 }
 
+// countExcess counts an attempt that ended because its target sent too many Bytes that
+// are no body for the caller, or a head of too many Lines.
+func (m *Metrics) countExcess(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_excess_total{kind=%q}`, kind)).Inc()
+}
+
 // countNotice counts a notice of a target, Leaving or Backoff, that took effect.
 func (m *Metrics) countNotice(kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_notices_total{kind=%q}`, kind)).Inc()
