lead: an update of records is refused beyond 65,536 of them

What callers saw: a VM ended for want of memory, or stood still for seconds, after one message or one copy of records from another VM; its requests ended with it.

Cause: an update was bounded by 16 MB after decompression. An empty record takes two bytes of these and over a hundred as a value, and compresses by a thousand: 15 KB, one UDP message, become gigabytes, in the loop that does all other control work.

What exceeds 16 MB is now refused as such, not decoded up to there.

--- a/crowd/endless_test.go
+++ b/crowd/endless_test.go
@@ -103,13 +103,20 @@
 		return
 	}
 	response := responses[index]
-	_, err = io.WriteString(connection, strings.ReplaceAll(response.beginning, "ID", request.Header.Get("Request-Id")))
+	repeat(connection, strings.ReplaceAll(response.beginning, "ID", request.Header.Get("Request-Id")), response.part)
 	if response.part == "" {
 		<-l.release
+	}
+}
+
+// repeat writes a beginning and then a part, if there is one, until that fails.
+func repeat(w io.Writer, beginning, part string) {
+	_, err := io.WriteString(w, beginning)
+	if part == "" {
 		return
 	}
-	for part := []byte(strings.Repeat(response.part, 1+pieceSize/len(response.part))); err == nil; {
-		_, err = connection.Write(part)
+	for repeated := []byte(strings.Repeat(part, 1+pieceSize/len(part))); err == nil; {
+		_, err = w.Write(repeated)
 	}
 }
 
--- a/lead/codec.go
+++ b/lead/codec.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"monsoonferry.org/ferry"
@@ -19,6 +20,9 @@
 const (
 	// maxUnpackedBytes bounds an Update. The platform stores values of up to 1 MB.
 	maxUnpackedBytes = 16 << 20
+	// maxUpdateRecords bounds the records of an Update: each takes far more memory than
+	// the two bytes of an empty one.
+	maxUpdateRecords = 1 << 16
 	// maxDictionaryBytes is the window of the compression.
 	maxDictionaryBytes = 32 << 10
 	// logOddsScale is the resolution of log odds in messages.
@@ -217,11 +221,13 @@
 
 // UnpackUpdate reverses PackUpdate.
 func UnpackUpdate(packed, dictionary []byte) (Update, error) {
-	reader := flate.NewReaderDict(bytes.NewReader(packed), fullDictionary(dictionary))
-	plain, err := io.ReadAll(io.LimitReader(reader, maxUnpackedBytes))
+	plain, err := unpack(packed, fullDictionary(dictionary))
 	if err != nil {
 		return Update{}, trace.BadParameter("records not decompressed: %v", err)
 	}
+	if count := countFields(plain); count > maxUpdateRecords+updateFields {
+		return Update{}, trace.BadParameter("more than %d records", maxUpdateRecords)
+	}
 	var message leadpb.Records
 	if err = proto.Unmarshal(plain, &message); err != nil {
 		return Update{}, trace.BadParameter("records not decoded: %v", err)
@@ -236,6 +242,39 @@
 	return update, nil
 }
 
+// unpack decompresses twice, first to learn the size: a buffer that grows would take
+// twice as much.
+func unpack(packed, dictionary []byte) ([]byte, error) {
+	size, err := io.Copy(io.Discard, io.LimitReader(flate.NewReaderDict(bytes.NewReader(packed), dictionary), maxUnpackedBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if size > maxUnpackedBytes {
+		return nil, trace.LimitExceeded("more than %d bytes", maxUnpackedBytes)
+	}
+	plain := make([]byte, size)
+	_, err = io.ReadFull(flate.NewReaderDict(bytes.NewReader(packed), dictionary), plain)
+	return plain, err
+}
+
+// updateFields is the number of fields of an encoded Update beside its records.
+const updateFields = 2
+
+// countFields returns the number of fields of an encoded message, up to one that is
+// invalid.
+func countFields(encoded []byte) int {
+	count := 0
+	for len(encoded) > 0 {
+		_, _, size := protowire.ConsumeField(encoded)
+		if size < 0 {
+			break
+		}
+		encoded = encoded[size:]
+		count++
+	}
+	return count
+}
+
 // fullDictionary appends dictionary to exampleRecord and returns the last
 // maxDictionaryBytes bytes.
 func fullDictionary(dictionary []byte) []byte {
