relay: the end of a request prefers a response that has arrived; a target that obeys a stop isn't accused

The results are looked at once more. - A target that gave a request up at the deadline that the stop had shortened was reported to the fleet as failing (+3.5 log odds). Its 504 is delivered and is no evidence.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -64,6 +64,14 @@
 	response *targetResponse
 	err      error
 	isReused bool
+	// isShortened reports that a planned stop has shortened the deadline of the target.
+	isShortened bool
+}
+
+// obeysStop reports whether the target gave the request up at a deadline that a planned
+// stop had shortened, which says nothing about the target.
+func (a *attempt) obeysStop() bool {
+	return a.isShortened && a.response != nil && a.response.status == http.StatusGatewayTimeout
 }
 
 // send makes one attempt on the picked target. It returns when the response, or
@@ -144,7 +152,9 @@
 
 // roundTrip sends the request and reads the response or its beginning.
 func (f *Forwarder) roundTrip(exchange *ferry.Exchange, body *payload, connection *conn, a *attempt) {
-	head := f.requestHead(exchange, body, a.pick.Target)
+	var deadline time.Duration
+	deadline, a.isShortened = f.targetTime(exchange)
+	head := f.requestHead(exchange, body, a.pick.Target, deadline)
 	a.outcome, a.verdict = ferry.OutcomeUnknown, ferry.VerdictReset
 	if len(body.buffered) <= chunkSize && (body.rest == nil || body.length >= 0) {
 		head = append(head, body.buffered...)
@@ -258,7 +268,7 @@
 }
 
 // requestHead encodes the request line and the header for the target.
-func (f *Forwarder) requestHead(exchange *ferry.Exchange, body *payload, target *ferry.Target) []byte {
+func (f *Forwarder) requestHead(exchange *ferry.Exchange, body *payload, target *ferry.Target, deadline time.Duration) []byte {
 	request := exchange.Request
 	header := make(http.Header, len(request.Header)+4)
 	perConnection := connectionFields(request.Header)
@@ -268,7 +278,7 @@
 		}
 	}
 	f.dialect.WriteRequest(header, ferry.ForwardMetadata{
-		ID: exchange.Metadata.ID, Target: target.ID, Account: accountID(exchange), Deadline: f.targetTime(exchange),
+		ID: exchange.Metadata.ID, Target: target.ID, Account: accountID(exchange), Deadline: deadline,
 	})
 	if body.length > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut || request.Method == http.MethodPatch {
 		if body.length >= 0 {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -194,13 +194,47 @@
 		case <-timer.C:
 			f.handleCheckpoint(sendCtx, r, timer)
 		case <-ctx.Done():
-			return f.interrupted(ctx, r)
+			if drain.IsEnded(ctx) {
+				return f.endAttempts(ctx, r)
+			}
+			return context.Canceled
 		case <-sendCtx.Done():
-			return f.expire(sendCtx, r)
+			return f.endAttempts(ctx, r)
+		}
+	}
+}
+
+// endAttempts ends a request whose time is over: with a response that has arrived, or with
+// a refusal.
+func (f *Forwarder) endAttempts(ctx context.Context, r *requestState) error {
+	for {
+		select {
+		case a := <-r.results:
+			r.inFlight--
+			if r.addResult(a) {
+				return f.deliverGood(ctx, r, a)
+			}
+		default:
+			if r.fallback != nil {
+				return f.deliver(ctx, r, r.fallback)
+			}
+			return f.expire(ctx, r)
 		}
 	}
 }
 
+// addResult adds the result of an attempt to what is known about a request. It reports
+// whether the caller can get its response.
+func (r *requestState) addResult(a *attempt) (isGood bool) {
+	if a.outcome == ferry.OutcomeUnknown || a.outcome == ferry.OutcomeDone {
+		r.possibleRuns++
+	}
+	if a.outcome == ferry.OutcomeDone && a.verdict == ferry.VerdictErrorStatus && r.fallback == nil {
+		r.fallback = a
+	}
+	return a.outcome == ferry.OutcomeDone && a.verdict == ferry.VerdictGood
+}
+
 // startAttempt starts one attempt, or returns a refusal when it can't.
 func (f *Forwarder) startAttempt(ctx context.Context, r *requestState, timer *time.Timer) error {
 	if !f.guard.MayRun(r.exchange) {
@@ -274,6 +308,9 @@
 	if a.verdict == ferry.VerdictGood {
 		f.latencies.Histogram(exchange.Route.ID).Add(report.Took, len(a.response.buffered))
 	}
+	if a.obeysStop() {
+		report.Verdict = ferry.VerdictNone
+	}
 	evidence := f.chooser.Release(now, pending.pick, report)
 	if a.response != nil {
 		f.heed(ctx, exchange, pending.pick, a.response.metadata)
@@ -355,20 +392,11 @@
 // handleResult responds to the caller after an attempt, starts another attempt
 // or waits for those in progress. isFinal reports that the request has ended.
 func (f *Forwarder) handleResult(ctx, sendCtx context.Context, r *requestState, a *attempt, timer *time.Timer) (isFinal bool, err error) {
-	if a.outcome == ferry.OutcomeUnknown || a.outcome == ferry.OutcomeDone {
-		r.possibleRuns++
-	}
-	if a.outcome == ferry.OutcomeDone && a.verdict == ferry.VerdictGood {
+	if r.addResult(a) {
 		return true, f.deliverGood(ctx, r, a)
 	}
-	if a.outcome == ferry.OutcomeDone && a.verdict == ferry.VerdictErrorStatus && r.fallback == nil {
-		r.fallback = a
-	}
 	if sendCtx.Err() != nil {
-		if r.fallback != nil {
-			return true, f.deliver(ctx, r, r.fallback)
-		}
-		return true, f.expire(sendCtx, r)
+		return true, f.endAttempts(ctx, r)
 	}
 	if r.inFlight > 0 {
 		return false, nil
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -83,10 +83,9 @@
 	return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonOverload, retryAfter, "every tried target was full or away")
 }
 
-// expire refuses a request whose deadline has passed, or that a planned stop has ended:
-// sendCtx has ended.
-func (f *Forwarder) expire(sendCtx context.Context, r *requestState) error {
-	if drain.IsEnded(sendCtx) {
+// expire refuses a request whose deadline has passed, or that a planned stop has ended.
+func (f *Forwarder) expire(ctx context.Context, r *requestState) error {
+	if drain.IsEnded(ctx) {
 		return f.refuseStopping(r)
 	}
 	if r.possibleRuns > 0 || r.inFlight > 0 {
--- a/relay/room.go
+++ b/relay/room.go
@@ -169,7 +169,7 @@
 		return f.interrupted(ctx, r)
 	case <-sendCtx.Done():
 		f.leaveQueue(r)
-		return f.expire(sendCtx, r)
+		return f.expire(ctx, r)
 	case <-timer.C:
 		if refusal := f.endWait(r); refusal != nil {
 			return f.refuseForRoom(ctx, r, refusal, monotonicTime(f.clock)-r.exchange.Arrived.Monotonic)
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -64,10 +64,13 @@
 	return context.Canceled
 }
 
-// targetTime returns how long a target may work on a request.
-func (f *Forwarder) targetTime(exchange *ferry.Exchange) time.Duration {
+// targetTime returns how long a target may work on a request, and whether a planned stop
+// has shortened that time.
+func (f *Forwarder) targetTime(exchange *ferry.Exchange) (deadline time.Duration, isShortened bool) {
 	now := f.clock.Now()
-	return f.grace.TargetTime(now, f.deadline(exchange)-now.Monotonic)
+	remaining := f.deadline(exchange) - now.Monotonic
+	deadline = f.grace.TargetTime(now, remaining)
+	return deadline, deadline < remaining
 }
 
 // newStopLog returns the log of decisions while the VM stops.
