proxy: a request that a stop has ended isn't sent, and its response isn't begun and cut

The old stack used the passage of a request before it had one lock for 'ended or sent, ended or answered': it didn't look whether the stop had been first.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -137,7 +137,9 @@
 	if err = f.checkGrace(ctx, s); err != nil {
 		return stepEnd, result, err
 	}
-	f.notePassage(ctx, pick.Target)
+	if !f.notePassage(ctx, pick.Target) {
+		return stepEnd, result, stopRefusal(s)
+	}
 	a := &attempt{
 		exchange: s.exchange, pick: pick, stallTimeout: s.service.Rules.StallAfter, body: s.body.nextAttempt(),
 		clock: f.config.Clock, grace: f.config.Grace,
@@ -150,8 +152,14 @@
 	s.budget.Observe(result)
 	next = f.nextStep(ctx, s, number, result)
 	switch {
+	case next == stepEnd && !drain.PassageOf(ctx).Enter(drain.StageAnswered):
+		// The planned stop that has ended the request would cut the response.
+		a.cancel(nil)
+		_ = response.Body.Close()
+		s.worstOutcome = max(s.worstOutcome, result.Outcome)
+		err = stopRefusal(s)
 	case next == stepEnd:
-		result.Verdict, err = f.streamResponse(ctx, a, response, result.Verdict)
+		result.Verdict, err = f.streamResponse(a, response, result.Verdict)
 	case response != nil:
 		a.cancel(nil)
 		_ = response.Body.Close()
@@ -280,7 +288,7 @@
 
 // streamResponse forwards the response to the caller and returns the final
 // verdict. It returns errTruncatedResponse if a part was not forwarded.
-func (f *Forwarder) streamResponse(ctx context.Context, a *attempt, response *http.Response, verdict ferry.Verdict) (ferry.Verdict, error) {
+func (f *Forwarder) streamResponse(a *attempt, response *http.Response, verdict ferry.Verdict) (ferry.Verdict, error) {
 	defer a.cancel(nil)
 	defer func() { _ = response.Body.Close() }()
 	writer := a.exchange.Writer
@@ -291,7 +299,6 @@
 	}
 	copyHeader(writer.Header(), response.Header)
 	writer.Header().Set(ferry.HeaderOutcome, ferry.OutcomeDone.String())
-	drain.PassageOf(ctx).Enter(drain.StageAnswered)
 	writer.WriteHeader(response.StatusCode)
 	source := &watchedBody{body: response.Body, stallTimeout: a.stallTimeout, cancel: a.cancel, checkKey: keyCheck(a.exchange, f.config.Snapshots)}
 	sink := &callerWriter{writer: writer, controller: http.NewResponseController(writer), mustFlush: response.ContentLength < 0}
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -53,14 +53,18 @@
 	return refusal
 }
 
-// notePassage notes that a target gets a request.
-func (f *Forwarder) notePassage(ctx context.Context, target *ferry.Target) {
+// notePassage notes that a target is about to get a request. It reports false if a planned
+// stop has ended the request: then it must not be sent.
+func (f *Forwarder) notePassage(ctx context.Context, target *ferry.Target) bool {
 	p := drain.PassageOf(ctx)
-	p.Send(target)
+	if !p.Send(target) {
+		return false
+	}
 	now := f.config.Clock.Now()
 	if left, isStopping := f.config.Grace.Left(now); isStopping {
 		f.stopLog.Write(ctx, drain.Sent, left, p, now)
 	}
+	return true
 }
 
 // newStopLog returns the log of decisions while the VM stops.
