relay: a response is believed only if it is of this sending of the request

What callers saw: "not run, try again" (503, outcome NotRun) for requests that a target had run or was running, or such a request ran at a second target. Cause: a claim "not run" was believed without a proof of what it is about. A response without a request ID that claims it was taken for the one on the connection, also on a kept one; so was any response without an ID for a request without one, and a second response with an ID that the connection had carried before (a caller that uses an ID again). Change: the connection remembers hashes of the IDs it has carried, and carries each once and 256 requests at most; an ID that comes again, or a request without an ID, takes another idle connection or a new one. With that, a response that names the request is of its last sending. Without an ID only the first response on a new connection counts: if the request has no ID, or to a 421 of a process that took over the address. It is not kept after that. Bytes that come before the first request end a new connection unsent. What is not believed is one line at level info and counted. After a response to another request the own one is awaited as before; after one without an ID the outcome is Unknown. Stricter than before also on a new connection: 503, 429 or 400 without an ID for a request with one is Unknown, because targets echo the ID, and bytes sent before the request was read look the same.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,6 +35,10 @@
 // errNoConnection reports that the VM has no connection left for the request.
 var errNoConnection = errors.New("the connections to targets have used up their budget")
 
+// errEarlyBytes reports that a target sent bytes, or closed the connection, before it
+// had a request.
+var errEarlyBytes = errors.New("the target sent bytes before it had a request")
+
 // hopByHop lists the header fields that are valid for one connection only,
 // following RFC 9110 section 7.6.1, and those that the package handles itself.
 var hopByHop = map[string]bool{
@@ -89,7 +94,7 @@
 		a.err, a.verdict = errNoConnection, ferry.VerdictNone
 		return a
 	}
-	connection, err := f.pool.get(ctx, a.sentAt, pick.Target, maxIdle)
+	connection, err := f.pool.get(ctx, a.sentAt, pick.Target, maxIdle, exchange.Metadata.ID)
 	f.chooser.SetIdleUntil(pick, f.pool.idleUntil(pick.Target))
 	if err != nil {
 		slot.Release()
@@ -105,7 +110,13 @@
 		discard(connection)
 		return a
 	}
+	if !connection.isReused && !connection.isIdle() {
+		a.err = errEarlyBytes
+		discard(connection)
+		return a
+	}
 	a.isReused = connection.isReused
+	connection.carry(exchange.Metadata.ID)
 	stop := context.AfterFunc(ctx, func() { discard(connection) })
 	f.roundTrip(exchange, body, connection, a)
 	switch {
@@ -322,9 +333,20 @@
 	return false
 }
 
+// isOwn reports whether a response is of this sending of the request. The connection
+// carries its ID once, so a response that names it is. One without an ID may be an
+// earlier response sent once more, except on a new connection. There it answers a request
+// without an ID, or is of a process that took over the target's address.
+func isOwn(id string, metadata ferry.ResponseMetadata, isFirst bool) bool {
+	if metadata.ID != "" {
+		return metadata.ID == id
+	}
+	return isFirst && (id == "" || metadata.Misdirected)
+}
+
 // readResponse reads responses until it finds the response to this request.
 func (f *Forwarder) readResponse(exchange *ferry.Exchange, hold *flight.Hold, connection *conn, a *attempt) {
-	for range maxStrayResponses + 1 {
+	for i := range maxStrayResponses + 1 {
 		// The body is read here or closed with the connection.
 		connection.limit.begin(maxHeadBytes)
 		response, err := http.ReadResponse(connection.reader, exchange.Request) //nolint:bodyclose // the connection is closed instead
@@ -337,31 +359,44 @@
 			continue
 		}
 		metadata := f.dialect.ReadResponse(response.StatusCode, response.Header)
-		if metadata.ID != "" && metadata.ID != exchange.Metadata.ID {
-			// The response to this request may follow.
-			if isUnframed(response) {
-				a.setError(errors.New("target sent a response to another request without a length"))
-				return
-			}
-			connection.limit.begin(maxStrayBytes)
-			if _, err = io.Copy(io.Discard, response.Body); err != nil {
-				a.setError(err)
-				return
-			}
-			f.log.Debug("response to another request discarded", "request", exchange.ID, "target", a.pick.Target.ID)
-			continue
+		if isOwn(exchange.Metadata.ID, metadata, i == 0 && !connection.isReused) {
+			f.acceptResponse(response, metadata, hold, connection, a)
+			return
 		}
-		if metadata.ID == "" && exchange.Metadata.ID != "" && !metadata.NotRun {
+		f.logDisbelieved(exchange, a.pick.Target, response.StatusCode, metadata)
+		if metadata.ID == "" {
 			a.setError(errors.New("target sent a response without a request ID"))
 			a.verdict = ferry.VerdictCutBody
 			return
 		}
-		f.acceptResponse(response, metadata, hold, connection, a)
-		return
+		// The response to this request may follow.
+		if isUnframed(response) {
+			a.setError(errors.New("target sent a response to another request without a length"))
+			return
+		}
+		connection.limit.begin(maxStrayBytes)
+		if _, err = io.Copy(io.Discard, response.Body); err != nil {
+			a.setError(err)
+			return
+		}
 	}
 	a.setError(errors.New("target sent too many responses to other requests"))
 }
 
+// logDisbelieved logs and counts a response that is not of this sending of the request.
+func (f *Forwarder) logDisbelieved(exchange *ferry.Exchange, target *ferry.Target, status int, metadata ferry.ResponseMetadata) {
+	why := "OtherRequest"
+	if metadata.ID == "" {
+		why = "NoID"
+	}
+	f.metrics.countDisbelieved(why)
+	if !f.disbelievedLines.allows(monotonicTime(f.clock)) {
+		return
+	}
+	f.log.Info("response not believed", slog.String("request", exchange.Metadata.ID), slog.String("target", string(target.ID)),
+		slog.String("why", why), slog.Int("status", status), slog.Bool("notRun", metadata.NotRun))
+}
+
 // setError sets an error that came after the request was sent, and its verdict.
 func (a *attempt) setError(err error) {
 	a.err = err
@@ -402,7 +437,8 @@
 	if timeout, ok := keepAliveTimeout(response.Header["Keep-Alive"]); ok {
 		connection.idleTimeout = max(0, timeout-idleMargin)
 	}
-	isReusable := isUsable && !response.Close && !isUnframed(response) && !metadata.Leaving
+	// Without an ID, a response that comes once more would look like the next one.
+	isReusable := isUsable && !response.Close && !isUnframed(response) && !metadata.Leaving && metadata.ID != "" && !connection.isWornOut()
 	pick := a.pick
 	a.response = &targetResponse{
 		status: response.StatusCode, header: response.Header, metadata: metadata, buffered: buffered, rest: rest,
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	"monsoonferry.org/ferry/drain"
@@ -37,6 +39,9 @@
 	// maxStrayBytes bounds the body of a response to another request as it is sent,
 	// in bytes.
 	maxStrayBytes = 128 << 10
+	// maxRequestsPerConnection bounds the requests that a connection carries, and with
+	// them the IDs that it remembers.
+	maxRequestsPerConnection = 256
 )
 
 // errTooManyBytes reports that a target sent more than a readLimit allows.
@@ -53,6 +58,8 @@
 	// idleTimeout is how long the connection may be idle.
 	idleTimeout time.Duration
 	isReused    bool
+	// carried holds hashes of the IDs of the requests that the connection has carried.
+	carried []uint64
 	// slot accounts for the connection while it carries a request.
 	slot *flight.Hold
 }
@@ -105,6 +112,16 @@
 	return !ok || !drain.HasInput(raw)
 }
 
+// carry notes that the connection carries a request.
+func (c *conn) carry(id string) { c.carried = append(c.carried, xxhash.Sum64String(id)) }
+
+// mayCarry reports whether every response to a request with this ID, given as its hash,
+// would be of the next sending.
+func (c *conn) mayCarry(id uint64) bool { return !slices.Contains(c.carried, id) }
+
+// isWornOut reports that the connection carries no further request.
+func (c *conn) isWornOut() bool { return len(c.carried) >= maxRequestsPerConnection }
+
 // keepAliveTimeout returns how long the target keeps an idle connection open.
 func keepAliveTimeout(values []string) (time.Duration, bool) {
 	for _, value := range values {
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -20,7 +20,9 @@
 // wait or be refused.
 //
 // The package keeps its own connections to targets, because package http may
-// retry a request by itself and does not report whether a byte was sent.
+// retry a request by itself and does not report whether a byte was sent. A
+// connection carries each request ID once, so that a response with that ID is of
+// the last sending, whatever responses the target repeats.
 //
 // # Usage
 //
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -51,6 +51,8 @@
 	latencies latencies
 	splitter  serviceSplitter
 	rooms     rooms
+	// disbelievedLines bounds the log lines of responses that are not believed.
+	disbelievedLines lineLimit
 	// grace is the grace period of the VM, or nil.
 	grace   *drain.Grace
 	stopLog stopLog
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -93,9 +93,11 @@
 	script   script
 	requests atomic.Int32
 	dials    atomic.Int32
-	mu       sync.Mutex
-	headers  []http.Header
-	bodies   [][]byte
+	// greet is called on a new connection before a request is read, unless it is nil.
+	greet   atomic.Pointer[func(net.Conn)]
+	mu      sync.Mutex
+	headers []http.Header
+	bodies  [][]byte
 }
 
 // startTarget starts a target in the VM's place.
@@ -135,6 +137,9 @@
 
 func (s *testTargetServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	if greet := s.greet.Load(); greet != nil {
+		(*greet)(conn)
+	}
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -49,6 +49,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_notices_total{kind=%q}`, kind)).Inc()
 }
 
+// countDisbelieved counts a response that is not of the request that its connection
+// carries, and why.
+func (m *Metrics) countDisbelieved(why string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_responses_not_believed_total{why=%q}`, why)).Inc()
+}
+
 // countStopDecision counts a decision about a request while the VM stops.
 func (m *Metrics) countStopDecision(decision string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_stop_decisions_total{decision=%q}`, decision)).Inc()
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/flight"
 )
@@ -52,12 +55,13 @@
 	}
 }
 
-// get returns a connection to the target that was idle for less than maxIdle,
-// or opens one.
-func (p *Pool) get(ctx context.Context, now time.Duration, target *ferry.Target, maxIdle time.Duration) (*conn, error) {
+// get returns a connection to the target that was idle for less than maxIdle and has
+// carried no request with the ID, or opens one. Responses don't show which request they
+// are for if it has no ID, so it gets a new connection.
+func (p *Pool) get(ctx context.Context, now time.Duration, target *ferry.Target, maxIdle time.Duration, id string) (*conn, error) {
 	key := target.Process()
 	for {
-		c := p.take(key)
+		c := p.take(key, id)
 		if c == nil {
 			p.makeRoom()
 			return dial(ctx, target.Address)
@@ -71,18 +75,24 @@
 	}
 }
 
-// take removes and returns the connection that was used last, or nil.
-func (p *Pool) take(key ferry.TargetProcess) *conn {
+// take removes and returns the connection that was used last of those that may carry
+// a request with the ID, or nil.
+func (p *Pool) take(key ferry.TargetProcess, id string) *conn {
+	if id == "" {
+		return nil
+	}
+	hash := xxhash.Sum64String(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; c.mayCarry(hash) {
+			p.idle[key] = slices.Delete(list, i, i+1)
+			p.idleCount--
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[key] = list[:len(list)-1]
-	p.idleCount--
-	return c
+	return nil
 }
 
 // put adds a connection whose response was read to its end.
--- a/relay/room.go
+++ b/relay/room.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxRoomLines bounds the log lines about room in a second on this VM.
-	maxRoomLines = 200
+	// maxLinesPerSecond bounds the log lines of one kind in a second on this VM.
+	maxLinesPerSecond = 200
 	// unlimitedWeight is the weight of accounts without a rate, and of open routes, in
 	// tokens a second: that of an account of medium size.
 	unlimitedWeight = 20
@@ -304,7 +304,7 @@
 	}, more...)...)
 }
 
-// lineLimit bounds log lines in each second. The zero lineLimit allows maxRoomLines.
+// lineLimit bounds log lines in each second. The zero lineLimit allows maxLinesPerSecond.
 type lineLimit struct {
 	second atomic.Int64
 	lines  atomic.Int64
@@ -316,5 +316,5 @@
 	if second := int64(now / time.Second); l.second.Swap(second) != second {
 		l.lines.Store(0)
 	}
-	return l.lines.Add(1) <= maxRoomLines
+	return l.lines.Add(1) <= maxLinesPerSecond
 }
