proxy, fake: a refusal is believed only if it is of this request

A target that wrote an earlier refusal once more on a kept connection had it taken for the response to the next request, which ran there and at a second target. Cause: http.Transport hands out whatever comes after the request was written. Responses of targets name no request, so a refusal with Ferry-Outcome: NotRun proved nothing on a connection that had carried another request. Change: targets may repeat Ferry-Request, and the fakes do. A response that names another request is not believed; a refusal that names none is believed only as the first response on a connection. Otherwise the outcome is Unknown and the connection is closed, since the true response may follow. Further attempts of a request go on new connections, so that one connection carries an ID once. Each disbelieved response has a line and is counted. The safe way has a price for targets that don't repeat the ID: their true refusals on kept connections end requests that may run once with 502. What remains: a repeated success without an ID can't be told from the next one. The fixture of the tests now gives each request its own ID; the first is request-1 as before.

--- a/fake/target.go
+++ b/fake/target.go
@@ -120,6 +120,7 @@
 		// The health endpoint of a gray target reports no fault.
 		return
 	}
+	writer.Header().Set(ferry.HeaderRequest, request.Header.Get(ferry.HeaderRequest))
 	b := t.startRequest(request)
 	if b.shed {
 		writer.Header().Set(ferry.HeaderOutcome, ferry.OutcomeNotRun.String())
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -21,11 +21,15 @@
 	pick         ferry.Pick
 	stallTimeout time.Duration
 	body         *attemptBody
+	// disbelieved is called for a response that is not of this attempt.
+	disbelieved func(why string, status int)
 
 	cancel        context.CancelCauseFunc
 	conn          atomic.Pointer[countedConn]
 	writtenBefore int64
-	started       time.Time
+	// isReused reports that the connection has carried another request before.
+	isReused atomic.Bool
+	started  time.Time
 }
 
 var errStall = errors.New("the target made no progress")
@@ -49,9 +53,43 @@
 		a.cancel(nil)
 		return nil, result
 	}
+	if why := a.doubt(response); why != "" {
+		a.discard(response, why)
+		a.cancel(nil)
+		return nil, ferry.Result{Verdict: ferry.VerdictReset, Outcome: ferry.OutcomeUnknown, Load: -1}
+	}
 	return response, a.classifyResponse(response)
 }
 
+// doubt returns why a response is not of this attempt, or nothing. A target may send a
+// refusal once more where the next response is due, and need not repeat request IDs:
+// without one, its refusal proves something only on a new connection.
+func (a *attempt) doubt(response *http.Response) (why string) {
+	id := response.Header.Get(ferry.HeaderRequest)
+	switch {
+	case id != "" && id != a.exchange.ID:
+		return "OtherRequest"
+	case id == "" && isShed(response) && a.isReused.Load():
+		return "NoID"
+	}
+	return ""
+}
+
+// discard closes the connection on which a doubtful response came: the response to this
+// attempt may follow.
+func (a *attempt) discard(response *http.Response, why string) {
+	_ = response.Body.Close()
+	if conn := a.conn.Load(); conn != nil {
+		_ = conn.Close()
+	}
+	a.disbelieved(why, response.StatusCode)
+}
+
+// isShed reports whether the target declares that it did not run the request.
+func isShed(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(ferry.HeaderOutcome) == ferry.OutcomeNotRun.String()
+}
+
 // trace records the connection and the bytes written to it before the attempt.
 func (a *attempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
@@ -59,6 +97,7 @@
 			if conn, ok := info.Conn.(*countedConn); ok {
 				a.writtenBefore = conn.written.Load()
 				a.conn.Store(conn)
+				a.isReused.Store(info.Reused)
 			}
 		},
 	}
@@ -130,7 +169,7 @@
 		FirstByte: time.Since(a.started), Load: reportedLoad(response.Header),
 	}
 	switch {
-	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(ferry.HeaderOutcome) == ferry.OutcomeNotRun.String():
+	case isShed(response):
 		result.Verdict, result.Outcome = ferry.VerdictShed, ferry.OutcomeNotRun
 	case response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusNotImplemented:
 		result.Verdict = ferry.VerdictErrorStatus
--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -8,8 +8,10 @@
 // responds, the retry rules forbid another attempt, or the deadline passes.
 //
 // A request that is not idempotent is retried only when it certainly did not
-// run. Responses are streamed. When a target truncates a response, the caller's
-// connection is aborted, so that the response never looks complete.
+// run: its target says so in a response that names the request, or in the first
+// one on a connection. Responses are streamed. When a target truncates a
+// response, the caller's connection is aborted, so that the response never looks
+// complete.
 //
 // # Usage
 //
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -40,11 +40,16 @@
 type Forwarder struct {
 	config    Config
 	transport http.RoundTripper
+	// resend sends further attempts of a request, each on a new connection, so that a
+	// connection carries a request ID once.
+	resend http.RoundTripper
 }
 
 // NewForwarder returns a Forwarder with its own connections to targets.
 func NewForwarder(config Config) *Forwarder {
-	return &Forwarder{config: config, transport: newTransport()}
+	resend := newTransport()
+	resend.MaxIdleConnsPerHost = -1
+	return &Forwarder{config: config, transport: newTransport(), resend: resend}
 }
 
 // requestState is the state that the attempts for one request share.
@@ -123,8 +128,13 @@
 		return stepEnd, result, withOutcome(err, s.worstOutcome)
 	}
 	a := &attempt{exchange: s.exchange, pick: pick, stallTimeout: s.service.Rules.StallAfter, body: s.body.nextAttempt()}
+	a.disbelieved = func(why string, status int) { f.logDisbelieved(s, pick, why, status) }
+	transport := f.transport
+	if number > 1 {
+		transport = f.resend
+	}
 	var response *http.Response
-	response, result = a.send(ctx, f.transport)
+	response, result = a.send(ctx, transport)
 	if result.Verdict != ferry.VerdictShed {
 		s.triedTargets = append(s.triedTargets, pick.Target.ID)
 	}
@@ -274,6 +284,13 @@
 	return ferry.VerdictNone, errTruncatedResponse
 }
 
+// logDisbelieved logs and counts a response that is not of the attempt on its connection.
+func (f *Forwarder) logDisbelieved(s *requestState, pick ferry.Pick, why string, status int) {
+	f.config.Metrics.countDisbelieved(why)
+	f.config.Log.Info("response not believed", slog.String("request", s.exchange.ID),
+		slog.String("target", string(pick.Target.ID)), slog.String("why", why), slog.Int("status", status))
+}
+
 // logAttempt logs the routing decision of an attempt and counts the attempt.
 func (f *Forwarder) logAttempt(s *requestState, pick ferry.Pick, number int, result ferry.Result) {
 	var account ferry.AccountID
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -31,6 +31,10 @@
 	m.set.GetOrCreateCounter(name).Inc()
 }
 
+func (m *Metrics) countDisbelieved(why string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("ferry_responses_not_believed_total{why=%q}", why)).Inc()
+}
+
 func (m *Metrics) countRefusal(refusal *ferry.RefusalError) {
 	name := fmt.Sprintf("ferry_refusals_total{reason=%q,outcome=%q}", refusal.Reason, refusal.Outcome)
 	m.set.GetOrCreateCounter(name).Inc()
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -17,6 +17,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -229,7 +230,9 @@
 		Queue: f, Limiter: f, Observer: f, Snapshots: f, Budgets: &retry.Budgets{}, Clock: fixedClock{}, Log: log, Metrics: counters,
 	})
 	chain := ferry.Chain(forwarder, RouteFilter{}, auth.Filter{}, BodyFilter{}, LimitFilter{Limiter: f, Clock: fixedClock{}})
-	server := NewServer(chain, f, fixedClock{}, func() string { return "request-1" }, log, counters)
+	var requests atomic.Int32
+	newID := func() string { return fmt.Sprintf("request-%d", requests.Add(1)) }
+	server := NewServer(chain, f, fixedClock{}, newID, log, counters)
 	f.server = httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		f.handling.Add(1)
 		defer f.handling.Done()
