relay: what a target repeats before the response to a HEAD request ends the attempt

What callers saw, in a test only: 503, outcome NotRun, for a HEAD request that a target had run. Cause: a response to another request was read with the method of the present one, so a repeated response to a POST had no body for a HEAD request, and the bytes of its body were read as the next response. Change: unless it has the length zero, its end counts as unknown, as that of a response without a length: outcome Unknown, connection closed.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -370,8 +370,8 @@
 			return
 		}
 		// The response to this request may follow.
-		if isUnframed(response) {
-			a.setError(errors.New("target sent a response to another request without a length"))
+		if isUnframed(response) || exchange.Request.Method == http.MethodHead && response.ContentLength != 0 {
+			a.setError(errors.New("target sent a response to another request whose end is unknown"))
 			return
 		}
 		connection.limit.begin(maxStrayBytes)
--- a/relay/claim_test.go
+++ b/relay/claim_test.go
@@ -252,6 +252,27 @@
 	is.Equal(int(target.dials.Load()), 1)
 }
 
+// The body of a repeated response is not read as the response to a HEAD request.
+func TestBodyOfRepeatedResponseIsNoResponse(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	forged := "HTTP/1.1 503 Service Unavailable\r\n" + testID + ": second\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+	ran := &runs{}
+	target := startTarget(t, "a", func(conn net.Conn, request *http.Request, _ []byte) {
+		respond(conn, http.StatusServiceUnavailable, "first", forged, testNotRun+": 1")
+		if request.Header.Get(testID) == "second" {
+			ran.add("second")
+			respond(conn, http.StatusOK, "second", "")
+		}
+	})
+	h := newHarness(t, target)
+	is.Equal(h.call(t.Context(), http.MethodPost, "/upload/x", "", testID, "first").status, http.StatusServiceUnavailable)
+	got := h.call(t.Context(), http.MethodHead, "/upload/x", "", testID, "second")
+	is.Equal(ran.of("second"), 1)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(got.header.Get("X-Outcome"), ferry.OutcomeUnknown.String())
+}
+
 // A connection remembers a bounded number of IDs, and is replaced after that.
 func TestConnectionIsReplacedAfterManyRequests(t *testing.T) {
 	is := is.New(t)
