--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -37,6 +37,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("ferry_stop_decisions_total{decision=%q}", decision)).Inc()
 }
 
+// countDisbelieved counts a response that is not of the attempt on its connection.
+func (m *Metrics) countDisbelieved(why string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("ferry_responses_not_believed_total{why=%q}", why)).Inc()
+}
+
 func (m *Metrics) countRefusal(refusal *ferry.RefusalError) {
 	name := fmt.Sprintf("ferry_refusals_total{reason=%q,outcome=%q}", refusal.Reason, refusal.Outcome)
 	m.set.GetOrCreateCounter(name).Inc()
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -52,6 +52,8 @@
 	latencies timing.Routes
 	splitter  serviceSplitter
 	rooms     rooms
+	// disbelievedLines bounds the log lines of responses that are not believed.
+	disbelievedLines lineLimit
 	// grace is the grace period of the VM, or nil.
 	grace   *drain.Grace
 	stopLog drain.Log
