proxy, host: what a stop has ended is neither sent nor begun to be answered; entry responses stay good

Since a passage is ended or sent, ended or answered; package proxy ignored it. And the first 2.5 s of a stop, in which a request is sent because it will probably be answered, are what operators of a Node forgive: callers of monsoonferry serve keep an entry response for 5 s.

Callers saw: a request that the stop had ended between the last check and the send ran all the same, while its caller was told that it did not run; one whose response came at that moment got its head and then the end of the connection.

Change: the Forwarder asks the passage before it sends and before it answers. Grace.LikelyTime is 2.5 s unless set; Host sets it to the lifetime of entry responses and their transit.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -29,9 +29,9 @@
 const (
 	// idleTime is the time without a request after which the VM may close.
 	idleTime = time.Second
-	// transitMargin is added to the lifetime of entry responses for the time that
+	// TransitMargin is added to the lifetime of entry responses for the time that
 	// they are in transit.
-	transitMargin = 2 * time.Second
+	TransitMargin = 2 * time.Second
 )
 
 // Controller tracks a planned stop. The zero Controller is not stopping. It
@@ -65,5 +65,5 @@
 	if inFlight > 0 || total != c.lastTotal {
 		c.lastTotal, c.lastActive = total, now
 	}
-	return now.Since(c.startedAt) >= c.EntryLifetime+transitMargin && now.Since(c.lastActive) >= idleTime
+	return now.Since(c.startedAt) >= c.EntryLifetime+TransitMargin && now.Since(c.lastActive) >= idleTime
 }
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -18,7 +18,7 @@
 	c := Controller{EntryLifetime: 5 * time.Second}
 	is.True(!c.IsDone(moment(time.Hour), 0, 0)) // not draining
 	c.Begin(moment(0))
-	const expired = 5*time.Second + transitMargin
+	const expired = 5*time.Second + TransitMargin
 	is.True(!c.IsDone(moment(expired-1), 0, 0)) // callers still use entry responses
 	is.True(!c.IsDone(moment(expired), 1, 0))   // a request is in flight
 	is.True(!c.IsDone(moment(expired+idleTime-1), 0, 0))
--- a/drain/grace.go
+++ b/drain/grace.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
 
@@ -14,12 +15,11 @@
 	// minAnswerMargin is the least time between the end of the time of targets and that of
 	// a short grace period: exitMargin, and the time to write the last refusals.
 	minAnswerMargin = 2*exitMargin + returnTime
-	// likelyTime is the time after the signal within which a request is sent because it
-	// will probably be answered, at most likelyShare of the grace period. Operators forgive
-	// the end of such a request if it was sent within 3 s; a slow VM learns of the signal
-	// late. After it only the end of the request's own time counts.
-	likelyTime  = 2500 * time.Millisecond
-	likelyShare = 0.5
+	// defaultLikelyTime is the default of LikelyTime. Operators of a Node forgive the end of
+	// such a request if it was sent within 3 s; a slow VM learns of the signal late. After
+	// it, or likelyShare of the grace period, only the end of the request's own time counts.
+	defaultLikelyTime = 2500 * time.Millisecond
+	likelyShare       = 0.5
 	// usualFactor is how often the usual time of an answer has to fit in the rest of the
 	// grace period.
 	usualFactor = 1.5
@@ -37,6 +37,11 @@
 // Grace tells requests what is left of the grace period of a planned stop. The zero
 // Grace, and nil, belong to a VM that does not stop. It is safe for concurrent use.
 type Grace struct {
+	// LikelyTime is the time after the signal within which a request is sent because it
+	// will probably be answered, at most half of the grace period, or zero for 2.5 s. It must
+	// be set before Begin.
+	LikelyTime time.Duration
+
 	stop atomic.Pointer[stop]
 }
 
@@ -112,7 +117,7 @@
 		return true
 	}
 	s := g.stop.Load()
-	isEarly := now.LongestSince(s.startedAt) < min(likelyTime, share(s.period, likelyShare))
+	isEarly := now.LongestSince(s.startedAt) < min(cmp.Or(g.LikelyTime, defaultLikelyTime), share(s.period, likelyShare))
 	return isEarly && time.Duration(usualFactor*float64(need.Usual)) <= left
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -18,6 +18,7 @@
 	"monsoonferry.org/ferry/cert"
 	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/drain"
+	"monsoonferry.org/ferry/entry"
 	"monsoonferry.org/ferry/limit"
 	"monsoonferry.org/ferry/peer"
 	"monsoonferry.org/ferry/proxy"
@@ -54,6 +55,7 @@
 		settings: settings, clock: clock, log: logger.Log, level: logger.Level, store: store, metrics: set,
 		drainRequested: make(chan struct{}),
 	}
+	h.grace.LikelyTime = entry.Lifetime + drain.TransitMargin
 	if h.callerTLS, err = cert.Load(settings.CallerTLS); err != nil {
 		return nil, err
 	}
--- a/host/stop_test.go
+++ b/host/stop_test.go
@@ -22,6 +22,7 @@
 	"github.com/matryer/is"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/entry"
 )
 
 const (
@@ -108,6 +109,8 @@
 // stopOptions describe a stopLab.
 type stopOptions struct {
 	isTLS bool
+	// grace is the grace period, or zero for stopGrace.
+	grace time.Duration
 	// slots is the number of slots of the target, or zero for 8.
 	slots int
 	log   slog.Handler
@@ -116,7 +119,7 @@
 func newStopLab(t *testing.T, options stopOptions) *stopLab {
 	t.Helper()
 	l := &stopLab{t: t, is: is.New(t), testFleet: newTestFleet(t, 2, 0), target: &workTarget{runs: map[string]int{}, shed: map[string]int{}}}
-	l.gracePeriod, l.logHandler = stopGrace, options.log
+	l.gracePeriod, l.logHandler = cmp.Or(options.grace, stopGrace), options.log
 	if options.isTLS {
 		l.callerTLS = writeAuthority(t, t.TempDir())
 		l.tls = &tls.Config{InsecureSkipVerify: true}
@@ -129,6 +132,7 @@
 	}}
 	// The pauses of these targets are no stall.
 	l.inventory.Services[0].Rules.StallAfter = 2 * longWork
+	l.inventory.Routes[0].Deadline = ferry.DefaultDeadline
 	l.start(2)
 	l.vm = l.vms[0]
 	l.await("the VM admits requests", func() bool {
@@ -422,6 +426,21 @@
 	})
 }
 
+// Callers may keep an entry response that names the VM for five seconds.
+func TestCallersWithOldEntryResponseAreServedDuringStop(t *testing.T) {
+	t.Parallel()
+	l := newStopLab(t, stopOptions{grace: 30 * time.Second})
+	l.stop()
+	l.waitUntil(entry.Lifetime)
+	caller := l.connect()
+	caller.sendOrder(10 * time.Millisecond)
+	caller.is.NoErr(caller.conn.SetReadDeadline(time.Now().Add(stopGrace)))
+	response, err := http.ReadResponse(caller.reader, nil)
+	l.is.NoErr(err)
+	l.is.Equal(response.StatusCode, http.StatusOK)
+	l.is.NoErr(response.Body.Close())
+}
+
 func TestStopCutsNothingOnHTTP2(t *testing.T) {
 	t.Parallel()
 	l := newStopLab(t, stopOptions{isTLS: true})
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -137,7 +137,9 @@
 	if err = f.checkGrace(ctx, s); err != nil {
 		return stepEnd, result, err
 	}
-	f.notePassage(ctx, pick.Target)
+	if !f.maySend(ctx, pick.Target) {
+		return stepEnd, result, stopRefusal(s)
+	}
 	a := &attempt{
 		exchange: s.exchange, pick: pick, stallTimeout: s.service.Rules.StallAfter, body: s.body.nextAttempt(),
 		clock: f.config.Clock, grace: f.config.Grace,
@@ -283,6 +285,10 @@
 func (f *Forwarder) streamResponse(ctx context.Context, a *attempt, response *http.Response, verdict ferry.Verdict) (ferry.Verdict, error) {
 	defer a.cancel(nil)
 	defer func() { _ = response.Body.Close() }()
+	// A planned stop that has ended the request would cut the response.
+	if !drain.PassageOf(ctx).Enter(drain.StageAnswered) {
+		return ferry.VerdictNone, unknownRefusal()
+	}
 	writer := a.exchange.Writer
 	removeHopByHop(response.Header)
 	response.Header.Del(ferry.HeaderLoad)
@@ -291,7 +297,6 @@
 	}
 	copyHeader(writer.Header(), response.Header)
 	writer.Header().Set(ferry.HeaderOutcome, ferry.OutcomeDone.String())
-	drain.PassageOf(ctx).Enter(drain.StageAnswered)
 	writer.WriteHeader(response.StatusCode)
 	source := &watchedBody{body: response.Body, stallTimeout: a.stallTimeout, cancel: a.cancel, checkKey: keyCheck(a.exchange, f.config.Snapshots)}
 	sink := &callerWriter{writer: writer, controller: http.NewResponseController(writer), mustFlush: response.ContentLength < 0}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -104,6 +104,9 @@
 	targets  []*scriptedTarget
 	log      *syncBuffer
 	snapshot *conf.Snapshot
+	// proxyServer and forwarder are those of the server.
+	proxyServer *Server
+	forwarder   *Forwarder
 	// handling counts the requests that the server works on.
 	handling sync.WaitGroup
 
@@ -230,6 +233,7 @@
 	})
 	chain := ferry.Chain(forwarder, RouteFilter{}, auth.Filter{}, BodyFilter{}, LimitFilter{Limiter: f, Clock: fixedClock{}})
 	server := NewServer(chain, f, fixedClock{}, func() string { return "request-1" }, log, counters)
+	f.proxyServer, f.forwarder = server, forwarder
 	f.server = httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		f.handling.Add(1)
 		defer f.handling.Done()
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -45,22 +45,31 @@
 
 // stopRefusal is the refusal of a request that a planned stop ends.
 func stopRefusal(s *requestState) error {
-	refusal := drain.Refusal()
 	if s.worstOutcome > ferry.OutcomeNotRun {
-		refusal.Status, refusal.Outcome, refusal.RetryAfter = http.StatusGatewayTimeout, ferry.OutcomeUnknown, 0
-		refusal.Detail = "the VM stopped before the target answered"
+		return unknownRefusal()
 	}
-	return refusal
+	return drain.Refusal()
 }
 
-// notePassage notes that a target gets a request.
-func (f *Forwarder) notePassage(ctx context.Context, target *ferry.Target) {
+// unknownRefusal is the refusal of a request that a planned stop ends at its target.
+func unknownRefusal() error {
+	return &ferry.RefusalError{
+		Status: http.StatusGatewayTimeout, Reason: ferry.ReasonStopping, Outcome: ferry.OutcomeUnknown,
+		Detail: "the VM stopped before the target answered",
+	}
+}
+
+// maySend notes that a target gets a request, unless a planned stop has ended it.
+func (f *Forwarder) maySend(ctx context.Context, target *ferry.Target) bool {
 	p := drain.PassageOf(ctx)
-	p.Send(target)
+	if !p.Send(target) {
+		return false
+	}
 	now := f.config.Clock.Now()
 	if left, isStopping := f.config.Grace.Left(now); isStopping {
 		f.stopLog.Write(ctx, drain.Sent, left, p, now)
 	}
+	return true
 }
 
 // newStopLog returns the log of decisions while the VM stops.
