cmd: a planned stop begins also while the settings file can't be read

Callers would see: a VM whose disk is held up during a reload, or that gets more than four SIGHUP at once, takes no notice of SIGTERM and is killed with all requests at the end of the grace period, without having told anyone.

Cause: one goroutine read the settings and waited for signals, on one channel of four.

Change: stops have their own channel and goroutine.

--- a/cmd/monsoonferry/node.go
+++ b/cmd/monsoonferry/node.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
+	"monsoonferry.org/ferry/conf"
 	"monsoonferry.org/ferry/node"
 	"monsoonferry.org/ferry/platform"
 )
@@ -67,11 +68,31 @@
 // may change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// handleSignals starts the planned stop on SIGTERM and SIGINT, and reloads the
-// settings on SIGHUP and when the file has changed.
-func handleSignals(ctx context.Context, path string, n *node.Node, log *slog.Logger) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+// signaled is what signals act on.
+type signaled interface {
+	Drain()
+	Reload(settings conf.NodeSettings)
+}
+
+// handleSignals starts the planned stop on SIGTERM and SIGINT. Settings are reloaded
+// beside it, since a disk may hold up the read of their file.
+func handleSignals(ctx context.Context, path string, n signaled, log *slog.Logger) {
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go handleReloads(ctx, path, reloads, n, log)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-stops:
+			n.Drain()
+		}
+	}
+}
+
+// handleReloads reloads the settings on a signal and when the file has changed.
+func handleReloads(ctx context.Context, path string, reloads <-chan os.Signal, n signaled, log *slog.Logger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModTime := modTimeOf(path)
@@ -79,11 +100,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case received := <-signals:
-			if received != syscall.SIGHUP {
-				n.Drain()
-				continue
-			}
+		case <-reloads:
 			reload(path, n, log)
 		case <-ticker.C:
 			if modTime := modTimeOf(path); !modTime.Equal(lastModTime) {
@@ -104,7 +121,7 @@
 }
 
 // reload rereads the settings. Invalid settings are logged and change nothing.
-func reload(path string, n *node.Node, log *slog.Logger) {
+func reload(path string, n signaled, log *slog.Logger) {
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		log.Error("settings not reloaded", "error", err)
