--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -144,7 +144,7 @@
 	if err = f.checkGrace(ctx, s); err != nil {
 		return stepEnd, result, err
 	}
-	if !f.notePassage(ctx, pick.Target) {
+	if !f.maySend(ctx, pick.Target) {
 		return stepEnd, result, stopRefusal(s)
 	}
 	a := &attempt{
@@ -164,14 +164,8 @@
 	s.budget.Observe(result)
 	next = f.nextStep(ctx, s, number, result)
 	switch {
-	case next == stepEnd && !drain.PassageOf(ctx).Enter(drain.StageAnswered):
-		// The planned stop that has ended the request would cut the response.
-		a.cancel(nil)
-		_ = response.Body.Close()
-		s.worstOutcome = max(s.worstOutcome, result.Outcome)
-		err = stopRefusal(s)
 	case next == stepEnd:
-		result.Verdict, err = f.streamResponse(a, response, result.Verdict)
+		result.Verdict, err = f.streamResponse(ctx, a, response, result.Verdict)
 	case response != nil:
 		a.cancel(nil)
 		_ = response.Body.Close()
@@ -300,9 +294,13 @@
 
 // streamResponse forwards the response to the caller and returns the final
 // verdict. It returns errTruncatedResponse if a part was not forwarded.
-func (f *Forwarder) streamResponse(a *attempt, response *http.Response, verdict ferry.Verdict) (ferry.Verdict, error) {
+func (f *Forwarder) streamResponse(ctx context.Context, a *attempt, response *http.Response, verdict ferry.Verdict) (ferry.Verdict, error) {
 	defer a.cancel(nil)
 	defer func() { _ = response.Body.Close() }()
+	// A planned stop that has ended the request would cut the response.
+	if !drain.PassageOf(ctx).Enter(drain.StageAnswered) {
+		return ferry.VerdictNone, unknownRefusal()
+	}
 	writer := a.exchange.Writer
 	removeHopByHop(response.Header)
 	response.Header.Del(ferry.HeaderLoad)
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -105,6 +105,9 @@
 	targets  []*scriptedTarget
 	log      *syncBuffer
 	snapshot *conf.Snapshot
+	// proxyServer and forwarder are those of the server.
+	proxyServer *Server
+	forwarder   *Forwarder
 	// handling counts the requests that the server works on.
 	handling sync.WaitGroup
 
@@ -233,6 +236,7 @@
 	var requests atomic.Int32
 	newID := func() string { return fmt.Sprintf("request-%d", requests.Add(1)) }
 	server := NewServer(chain, f, fixedClock{}, newID, log, counters)
+	f.proxyServer, f.forwarder = server, forwarder
 	f.server = httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		f.handling.Add(1)
 		defer f.handling.Done()
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -45,17 +45,22 @@
 
 // stopRefusal is the refusal of a request that a planned stop ends.
 func stopRefusal(s *requestState) error {
-	refusal := drain.Refusal()
 	if s.worstOutcome > ferry.OutcomeNotRun {
-		refusal.Status, refusal.Outcome, refusal.RetryAfter = http.StatusGatewayTimeout, ferry.OutcomeUnknown, 0
-		refusal.Detail = "the VM stopped before the target answered"
+		return unknownRefusal()
 	}
-	return refusal
+	return drain.Refusal()
 }
 
-// notePassage notes that a target is about to get a request. It reports false if a planned
-// stop has ended the request: then it must not be sent.
-func (f *Forwarder) notePassage(ctx context.Context, target *ferry.Target) bool {
+// unknownRefusal is the refusal of a request that a planned stop ends at its target.
+func unknownRefusal() error {
+	return &ferry.RefusalError{
+		Status: http.StatusGatewayTimeout, Reason: ferry.ReasonStopping, Outcome: ferry.OutcomeUnknown,
+		Detail: "the VM stopped before the target answered",
+	}
+}
+
+// maySend notes that a target gets a request, unless a planned stop has ended it.
+func (f *Forwarder) maySend(ctx context.Context, target *ferry.Target) bool {
 	p := drain.PassageOf(ctx)
 	if !p.Send(target) {
 		return false
