store: a header of the platform is bounded by 16 KB

Callers saw nothing yet.

Change: a transport of its own with maxHeaderBytes and without decompression, as platform.Client has.

Why it works: package http counts the bytes of interim responses and of the header against that limit. The value was bounded by 1 MB already.

--- a/store/client.go
+++ b/store/client.go
@@ -23,6 +23,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -47,6 +48,12 @@
 	responseTimeout = 2 * time.Second
 	// maxValueBytes is the largest value that the platform holds.
 	maxValueBytes = 1 << 20
+	// maxHeaderBytes bounds the header of one response.
+	maxHeaderBytes = 16 << 10
+	// dialTimeout bounds the opening of a connection, and idleTimeout is how long an
+	// unused one stays open.
+	dialTimeout = 30 * time.Second
+	idleTimeout = 90 * time.Second
 
 	versionHeader = "Value-Version"
 )
@@ -65,7 +72,13 @@
 
 // NewClient returns a client of the platform at the given addresses.
 func NewClient(addresses []netip.AddrPort) *Client {
-	return NewClientWithTransport(addresses, http.DefaultTransport)
+	return NewClientWithTransport(addresses, &http.Transport{
+		Proxy:                  http.ProxyFromEnvironment,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	})
 }
 
 // NewClientWithTransport returns a client of the platform whose calls use the given
