relay: a body without end is dropped when its caller left before it began

What callers saw: once enough callers had left such requests, connections to targets were used up and other requests were refused.

Cause: a request that may run only once goes on when its caller leaves, so that its target isn't cut off in the middle. Its response ends with the attempt, but one that is longer than the buffer was left to a handler that had gone: the connection, its slot and what the kernel had received stayed until the deadline.

That other requests are refused for it follows from the budget of connections and was not run.

Change: a response that goes on beyond its buffer is given up when the context of the caller's request has ended, whatever the attempt's context says.

Why it works: the context of the request ends with its handler at the latest, and the handler releases a response that it delivers before that. The attempt itself, its evidence and responses that fit into the buffer are as before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -118,9 +118,14 @@
 	case ctx.Err() != nil:
 		a.response = nil
 	default:
-		// The connection is closed at the end of ctx unless the response is released.
+		// The connection is closed at the end of ctx, or when the caller has left, unless
+		// the response is released.
 		release := a.response.release
-		a.response.release = func(isComplete bool) { release(stop() && isComplete) }
+		keep := context.AfterFunc(exchange.Request.Context(), func() { discard(connection) }) //nolint:contextcheck // ctx may outlast the caller
+		a.response.release = func(isComplete bool) {
+			hasCaller := keep()
+			release(stop() && hasCaller && isComplete)
+		}
 		f.setReadDeadline(ctx, connection)
 	}
 	if ctx.Err() != nil && a.response == nil {
