relay: the buffer of a response without a length is as large as its hold

Callers saw nothing.

Change: such a body is read into buffers that grow fourfold up to that size, as the body of a request is.

Why it works: the last buffer is exactly what was taken.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -448,12 +448,22 @@
 		_, err = io.ReadFull(body, buffered)
 		return buffered, body, err
 	}
-	var buffer bytes.Buffer
-	_, err = io.CopyN(&buffer, body, size)
-	if errors.Is(err, io.EOF) {
-		return buffer.Bytes(), nil, nil
+	for int64(len(buffered)) < size {
+		if len(buffered) == cap(buffered) {
+			next := min(max(int64(len(buffered))*growth, bufferSize), size)
+			buffered = append(make([]byte, 0, next), buffered...)
+		}
+		var n int
+		n, err = body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+n]
+		if errors.Is(err, io.EOF) {
+			return buffered, nil, nil
+		}
+		if err != nil {
+			return buffered, body, err
+		}
 	}
-	return buffer.Bytes(), body, err
+	return buffered, body, nil
 }
 
 // isUsable reports whether a caller may get the response: a success needs the
--- a/relay/head_test.go
+++ b/relay/head_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry/flight"
 )
 
 // shortFields returns as many header fields with different names as a size in bytes holds.
@@ -95,3 +97,22 @@
 		is.Equal(got.header["Link"], []string{"x", "y"})
 	}
 }
+
+// endlessReader reads without end.
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// What is held of a response is what was taken of the budget, with a length or without.
+func TestBufferOfEndlessBodyIsWithinBudget(t *testing.T) {
+	t.Parallel()
+	for _, length := range []int64{-1, 1 << 40} {
+		is := is.New(t)
+		hold := flight.NewLedger(4 * maxBufferedResponse).Open("owner")
+		buffered, rest, err := bufferBody(endlessReader{}, length, hold)
+		is.NoErr(err)
+		is.True(rest != nil)
+		is.Equal(len(buffered), maxBufferedResponse)
+		is.Equal(cap(buffered), maxBufferedResponse)
+	}
+}
