--- a/host/stop_test.go
+++ b/host/stop_test.go
@@ -77,6 +77,7 @@
 	}
 	if request.Header.Get(shedHeader) != "" && t.count(t.shed, id) == 1 {
 		wait(shedHeader)
+		writer.Header().Set(ferry.HeaderRequest, request.Header.Get(ferry.HeaderRequest))
 		writer.Header().Set(ferry.HeaderOutcome, ferry.OutcomeNotRun.String())
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
