relay: TestCallerDisconnects leaves when the target has its request

Its caller left after 80 ms, whether or not the request had reached the target by then, and the test waited without an end for what the target saw. Now the caller leaves once the target has the request, and the wait ends after 10 s with a failure. The bounds are unchanged. That the 80 ms were over before the send is likely, not shown.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -323,14 +323,28 @@
 		durations <- time.Since(started)
 	}
 	h := newHarness(t, startTarget(t, "a", measure))
-	ctx, cancel := context.WithTimeout(t.Context(), 80*time.Millisecond)
-	defer cancel()
-	is.True(h.call(ctx, http.MethodGet, "/safe/x", "").err != nil)
-	is.True(<-durations < 300*time.Millisecond)
-	ctx, cancel = context.WithTimeout(t.Context(), 80*time.Millisecond)
-	defer cancel()
-	is.True(h.call(ctx, http.MethodPost, "/unsafe/x", "b").err != nil)
-	is.True(<-durations >= 390*time.Millisecond)
+	// leave disconnects once the target has a request, and returns how long that went on.
+	leave := func(method, path, body string) time.Duration {
+		received := h.received()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			for h.received() == received && ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+		}()
+		is.True(h.call(ctx, method, path, body).err != nil)
+		select {
+		case duration := <-durations:
+			return duration
+		case <-time.After(10 * time.Second):
+			t.Fatal("no request reached the target")
+			return 0
+		}
+	}
+	is.True(leave(http.MethodGet, "/safe/x", "") < 300*time.Millisecond)
+	is.True(leave(http.MethodPost, "/unsafe/x", "b") >= 390*time.Millisecond)
 }
 
 // The target gets the client account and no header that contains the key.
