--- a/crowd/lab_test.go
+++ b/crowd/lab_test.go
@@ -9,14 +9,14 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"monsoonferry.org/ferry/spawn"
 )
 
 const (
@@ -34,7 +34,7 @@
 	answerLimit = 60 * time.Second
 	callLimit   = 20 * time.Second
 	// The ports of the VM.
-	callerPort, readyPort, controlPort, directoryPort = 8405, 8406, 8407, 8404
+	callerPort, readyPort, controlPort, directoryPort = spawn.CallerPort, spawn.ReadyPort, spawn.ControlPort, spawn.DirectoryPort
 )
 
 // program is the path of the program under test.
@@ -49,17 +49,13 @@
 }
 
 func runTests(m *testing.M) int {
-	directory, err := os.MkdirTemp("", "crowd")
+	built, remove, err := spawn.Build()
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer func() { _ = os.RemoveAll(directory) }()
-	program = filepath.Join(directory, "monsoonferry")
-	if output, buildErr := exec.Command("go", "build", "-o", program, "../cmd/monsoonferry").CombinedOutput(); buildErr != nil {
-		_, _ = fmt.Fprintf(os.Stderr, "%s\n%v\n", output, buildErr)
-		return 1
-	}
+	defer remove()
+	program = built
 	return m.Run()
 }
 
@@ -68,9 +64,9 @@
 	t       testing.TB
 	host    string
 	logPath string
-	process *exec.Cmd
+	process *spawn.Process
 	exited  chan struct{}
-	// seeds are the control addresses of other VMs.
+	// seeds are the hosts of other VMs.
 	seeds []string
 	// release ends the requests that targets hold.
 	release         chan struct{}
@@ -91,7 +87,7 @@
 
 // newLab returns a lab whose VM isn't started.
 func newLab(t testing.TB) *lab {
-	return &lab{t: t, host: fmt.Sprintf("127.32.7.%d", nextHost.Add(1)), exited: make(chan struct{}), release: make(chan struct{})}
+	return &lab{t: t, host: fmt.Sprintf("127.32.7.%d", nextHost.Add(1)), release: make(chan struct{})}
 }
 
 // items starts the targets and returns what the store holds.
@@ -128,39 +124,21 @@
 
 func (l *lab) startProcess(store string) {
 	l.t.Helper()
-	settings, err := json.Marshal(map[string]any{
-		"ID": "vm-1", "Place": "place-1", "Places": map[string]string{"place-1": "region-1"}, "Address": l.host,
-		"PeerPorts": []int{7660, 7675}, "Seeds": append([]string{l.address(controlPort)}, l.seeds...), "Store": store,
-		"Listen": map[string]string{
-			"Callers": l.address(callerPort), "Ready": l.address(readyPort), "Control": l.address(controlPort), "Directory": l.address(directoryPort),
-		},
-		"MemoryMegabytes": memoryMegabytes, "MaxDescriptors": maxDescriptors, "ProcessorShare": 0.32, "ProcessorSpeed": 1, "First": true,
-		"Bounds": map[string]any{"configApplyMs": 2000, "revokeMs": 5000, "graceS": 6, "ttl_max_s": 5},
-	})
-	if err != nil {
-		l.t.Fatal(err)
-	}
-	directory := l.t.TempDir()
-	path := filepath.Join(directory, "node.json")
-	if err = os.WriteFile(path, settings, 0o600); err != nil {
-		l.t.Fatal(err)
-	}
-	l.logPath = filepath.Join(directory, "vm.log")
-	log, err := os.Create(l.logPath)
+	vm := spawn.VM{
+		Program: program, ID: "vm-1", Place: "place-1", Places: map[string]string{"place-1": "region-1"},
+		Host: l.host, Seeds: append([]string{l.host}, l.seeds...), Store: store,
+		MemoryMegabytes: memoryMegabytes, MaxDescriptors: maxDescriptors, ProcessorShare: 0.32, First: true,
+		Bounds:    map[string]any{"configApplyMs": 2000, "revokeMs": 5000, "graceS": 6, "ttl_max_s": 5},
+		Directory: l.t.TempDir(),
+	}
+	err := vm.WriteSettings()
 	if err != nil {
 		l.t.Fatal(err)
 	}
-	l.process = exec.Command(program, "node", "--settings", path)
-	l.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + directory, "GOMAXPROCS=2"}
-	l.process.Stdout, l.process.Stderr = log, log
-	if err = l.process.Start(); err != nil {
+	if l.process, err = vm.Start(); err != nil {
 		l.t.Fatal(err)
 	}
-	go func() {
-		_ = l.process.Wait()
-		_ = log.Close()
-		close(l.exited)
-	}()
+	l.logPath, l.exited = vm.LogPath(), l.process.Exited
 	go l.watchDescriptors()
 }
 
