KNOWN-RED, host: TestChangeCutsNothingOnItsWay got 404 instead of 503 once beside load

The test logs status, outcome and reason of a refusal from now on, so that the next occurrence tells whether the request arrived after the change.

--- a/host/change_test.go
+++ b/host/change_test.go
@@ -60,6 +60,7 @@
 					is.Equal(response.StatusCode, http.StatusOK)
 					continue
 				}
+				t.Logf("%s: status %d, outcome %s, reason %s", stage, response.StatusCode, response.Header.Get(ferry.HeaderOutcome), response.Header.Get(ferry.HeaderReason))
 				is.Equal(response.StatusCode, http.StatusServiceUnavailable)
 				is.Equal(response.Header.Get(ferry.HeaderOutcome), "NotRun")
 				is.Equal(l.target.runsOf(waitingID), 0)
