drain: callers in the middle of a header don't keep a stopping process; twice the time for its exit

Change: once the time of targets is over, connections without a whole request are closed at once, without a response, so that their callers may go elsewhere; exitMargin is 300 ms. TestUnreadRequestsEndWithTheStop has the first part.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -307,6 +307,18 @@
 	return count
 }
 
+// CloseUnread closes the connections of which no whole request was read, unless more of one
+// waits to be read. Their callers may send it to another VM.
+func (l *Listener) CloseUnread() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if !c.isMultiplexed.Load() && !c.isActive.Load() && !HasInput(c) {
+			_ = c.TCPConn.Close()
+		}
+	}
+}
+
 // CloseOverdue closes the connections that have waited for a request for the time
 // idle, and those on which the header of a request is not complete after the time
 // header. Unlike the timeouts of an http.Server, the times may change while it serves.
--- a/drain/listener_test.go
+++ b/drain/listener_test.go
@@ -339,3 +339,34 @@
 	}
 	is.Equal(s.listener.Remaining(), 0)
 }
+
+// At the end of a stop, callers in the middle of a header don't keep the process.
+func TestUnreadRequestsEndWithTheStop(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := startServer(t)
+	connect := func(text string) net.Conn {
+		conn, err := net.Dial("tcp4", s.listener.Addr().String())
+		is.NoErr(err)
+		_, err = io.WriteString(conn, text)
+		is.NoErr(err)
+		return conn
+	}
+	idle, partial := connect(""), connect("GET /x HTTP/1.1\r\nHo")
+	busy := connect("POST /x HTTP/1.1\r\nHost: h\r\nId: busy\r\nContent-Length: 4\r\n\r\nab")
+	for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if _, isHandled := s.handled.Load("busy"); isHandled && s.listener.Usage().Header > 0 {
+			break
+		}
+	}
+	s.listener.CloseUnread()
+	for _, conn := range []net.Conn{idle, partial} {
+		_, err := conn.Read(make([]byte, 1))
+		is.Equal(err, io.EOF) // no response: the request may go to another VM
+	}
+	_, err := io.WriteString(busy, "cd")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+}
--- a/drain/stop.go
+++ b/drain/stop.go
@@ -15,14 +15,16 @@
 	// quietBeforeClose is the time without input after which a connection without a
 	// request is closed: a round trip with a lost packet.
 	quietBeforeClose = 500 * time.Millisecond
-	// exitMargin is the part of the grace period reserved for the exit of the process.
-	exitMargin = 150 * time.Millisecond
+	// exitMargin is the part of the grace period reserved for the exit of the process: a VM
+	// with little processor time may be held up for as long as half of it.
+	exitMargin = 300 * time.Millisecond
 )
 
 // Connections are the connections of callers, as a Listener keeps them.
 type Connections interface {
 	StopAccepting() error
 	CloseQuiet(quiet time.Duration) int
+	CloseUnread()
 	Remaining() int
 }
 
@@ -78,9 +80,9 @@
 // closeQuiet closes the connections of callers that have no request. Once the time of
 // targets is over, none is waited for: it would be refused.
 func (s Stop) closeQuiet(now ferry.Moment) {
-	quiet := quietBeforeClose
 	if left, _ := s.Passages.Grace.Left(now); left <= 0 {
-		quiet = closeInterval
+		s.Connections.CloseUnread()
+		return
 	}
-	s.Connections.CloseQuiet(quiet)
+	s.Connections.CloseQuiet(quietBeforeClose)
 }
--- a/host/stop.go
+++ b/host/stop.go
@@ -102,6 +102,13 @@
 	return count
 }
 
+// CloseUnread implements drain.Connections.
+func (c *callerConnections) CloseUnread() {
+	if c.tracked != nil {
+		c.tracked.CloseUnread()
+	}
+}
+
 // Remaining implements drain.Connections.
 func (c *callerConnections) Remaining() int {
 	if c.tracked == nil {
