--- a/drain/drain.go
+++ b/drain/drain.go
@@ -1,11 +1,21 @@
-// Package drain decides when a VM that stops as planned may close.
+// Package drain decides when a VM that stops as planned may close, and which requests it
+// still serves until then.
 //
 // # Concept
 //
 // A planned stop aborts no request. The VM is first removed from entry responses
 // and notifies its peers. It continues to serve until all entry responses that
 // contain it have expired, no request is in flight and none has arrived for a
-// while. Responses to late requests ask callers to close their connections.
+// while, but no longer than its grace period. Responses ask callers to close their
+// connections.
+//
+// Grace holds what is left of the grace period. A request is sent to a target only if it
+// can be answered in that time; any other is refused as not run, so that its caller goes
+// to another VM. Requests holds the requests in progress with the stage that each has
+// reached: waiting, sent to a target, or answered in part. Requests that wait are ended as
+// soon as they can't be answered any more, and those at a target when the time of targets
+// is over. A request is ended or sent, and ended or answered, never both. Stop is the loop
+// that does so and closes the connections.
 //
 // Listener keeps the connections of an http.Server. It stops in two steps: it accepts
 // what has reached the backlog and closes; then connections end with the response to
@@ -13,10 +23,15 @@
 //
 // # Usage
 //
-//	var d drain.Controller
-//	d.Begin(now)
-//	if d.IsDone(now, inFlight, total) {
-//		// close the listeners
+//	grace.Begin(now, period)
+//	isComplete := drain.Stop{Requests: &requests, Connections: listener, ...}.Run(ctx)
+//
+// and on the path of each request:
+//
+//	ctx, request := requests.Enter(ctx, id, now)
+//	defer requests.Leave(request)
+//	if !grace.Admits(now, need) || !request.Send(target) {
+//		return drain.Refusal()
 //	}
 package drain
 
--- a/drain/passage.go
+++ b/drain/request.go
@@ -52,8 +52,8 @@
 // String returns the name of the stage in logs and metrics.
 func (s Stage) String() string { return [...]string{"Waiting", "Sent", "Answered"}[s] }
 
-// Passage is a request in progress as a planned stop sees it.
-type Passage struct {
+// Request is a request in progress as a planned stop sees it.
+type Request struct {
 	id      string
 	arrived ferry.Moment
 	// end cancels the context of the request, with a cause.
@@ -85,19 +85,19 @@
 	return Need{Usual: d.Usual, Longest: d.Deadline - now.Monotonic}
 }
 
-// passageKey is the context key of a request's passage.
-type passageKey struct{}
+// requestKey is the context key of a Request.
+type requestKey struct{}
 
-// PassageOf returns the passage of a request, or one that nobody sees.
-func PassageOf(ctx context.Context) *Passage {
-	if p, ok := ctx.Value(passageKey{}).(*Passage); ok {
+// RequestOf returns the Request of a context, or one that no stop sees.
+func RequestOf(ctx context.Context) *Request {
+	if p, ok := ctx.Value(requestKey{}).(*Request); ok {
 		return p
 	}
-	return &Passage{}
+	return &Request{}
 }
 
 // SetDemand notes what the request needs of the rest of a grace period.
-func (p *Passage) SetDemand(d *Demand) {
+func (p *Request) SetDemand(d *Demand) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.demand = d
@@ -105,7 +105,7 @@
 
 // Enter notes how far the request has come. It reports false if a planned stop has ended
 // it before.
-func (p *Passage) Enter(s Stage) bool {
+func (p *Request) Enter(s Stage) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isEnded {
@@ -117,7 +117,7 @@
 
 // Send notes that a target is about to get the request. It reports false if a planned
 // stop has ended the request: then it must not be sent.
-func (p *Passage) Send(target *ferry.Target) bool {
+func (p *Request) Send(target *ferry.Target) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isEnded {
@@ -127,7 +127,7 @@
 	return true
 }
 
-func (p *Passage) stageNow() Stage {
+func (p *Request) stageNow() Stage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.stage
@@ -135,7 +135,7 @@
 
 // isOverdue reports whether the request can't be answered in the rest of the grace period.
 // A response that has begun goes on until the VM closes.
-func (p *Passage) isOverdue(grace *Grace, now ferry.Moment) bool {
+func (p *Request) isOverdue(grace *Grace, now ferry.Moment) bool {
 	switch p.stage {
 	case StageWaiting:
 		return !grace.Admits(now, p.demand.At(now))
@@ -147,7 +147,7 @@
 }
 
 // tryEnd marks an overdue request as ended. It reports false for others.
-func (p *Passage) tryEnd(grace *Grace, now ferry.Moment) bool {
+func (p *Request) tryEnd(grace *Grace, now ferry.Moment) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isEnded || !p.isOverdue(grace, now) {
@@ -159,7 +159,7 @@
 
 // Result returns the result of a request that ended with err, if a planned stop has
 // ended it. Where it waited, what it waited for is not why it ends.
-func (p *Passage) Result(ctx context.Context, err error) error {
+func (p *Request) Result(ctx context.Context, err error) error {
 	var refusal *ferry.RefusalError
 	isNotRun := p.stageNow() == StageWaiting || errors.As(err, &refusal) && refusal.Outcome == ferry.OutcomeNotRun
 	if err == nil || !isNotRun || !IsEnded(ctx) {
@@ -168,8 +168,8 @@
 	return Refusal()
 }
 
-// attributes describes the passage in the log.
-func (p *Passage) attributes(now ferry.Moment) []slog.Attr {
+// attributes describes the request in the log.
+func (p *Request) attributes(now ferry.Moment) []slog.Attr {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var target ferry.TargetID
@@ -201,7 +201,7 @@
 }
 
 // Write logs a decision about a request. left is the rest of the time of targets.
-func (l Log) Write(ctx context.Context, decision Decision, left time.Duration, p *Passage, now ferry.Moment, more ...slog.Attr) {
+func (l Log) Write(ctx context.Context, decision Decision, left time.Duration, p *Request, now ferry.Moment, more ...slog.Attr) {
 	l.Count(decision)
 	l.Log.LogAttrs(ctx, slog.LevelInfo, "request while stopping",
 		append(append(p.attributes(now), slog.String("decision", string(decision)), slog.Duration("graceLeft", left)), more...)...)
@@ -213,24 +213,24 @@
 		return nil
 	}
 	left, _ := grace.Left(now)
-	l.Write(ctx, Refused, left, PassageOf(ctx), now, slog.Duration("usual", need.Usual), slog.Duration("longest", need.Longest))
+	l.Write(ctx, Refused, left, RequestOf(ctx), now, slog.Duration("usual", need.Usual), slog.Duration("longest", need.Longest))
 	return Refusal()
 }
 
-// Passages holds the requests in progress of a VM. It must not be copied.
-type Passages struct {
+// Requests holds the requests in progress of a VM. It must not be copied.
+type Requests struct {
 	// Grace is the grace period of the VM, or nil if it never stops.
 	Grace *Grace
 	Log   Log
 
 	mu   sync.Mutex
-	open map[*Passage]struct{}
+	open map[*Request]struct{}
 }
 
 // Enter adds a request and returns its context, which a planned stop may end.
-func (s *Passages) Enter(ctx context.Context, id string, arrived ferry.Moment) (context.Context, *Passage) {
-	p := &Passage{id: id, arrived: arrived}
-	ctx, p.end = context.WithCancelCause(context.WithValue(ctx, passageKey{}, p))
+func (s *Requests) Enter(ctx context.Context, id string, arrived ferry.Moment) (context.Context, *Request) {
+	p := &Request{id: id, arrived: arrived}
+	ctx, p.end = context.WithCancelCause(context.WithValue(ctx, requestKey{}, p))
 	s.add(p)
 	if left, isStopping := s.Grace.Left(arrived); isStopping {
 		s.Log.Write(ctx, Arrived, left, p, arrived, OriginOf(ctx).attributes()...)
@@ -238,24 +238,24 @@
 	return ctx, p
 }
 
-func (s *Passages) add(p *Passage) {
+func (s *Requests) add(p *Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open == nil {
-		s.open = map[*Passage]struct{}{}
+		s.open = map[*Request]struct{}{}
 	}
 	s.open[p] = struct{}{}
 }
 
 // Leave removes a request.
-func (s *Passages) Leave(p *Passage) {
+func (s *Requests) Leave(p *Request) {
 	p.end(nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, p)
 }
 
-func (s *Passages) list() []*Passage {
+func (s *Requests) list() []*Request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Collect(maps.Keys(s.open))
@@ -264,7 +264,7 @@
 // EndOverdue ends the requests that can't be answered in the rest of the grace period:
 // one that no target has got as soon as that is known, one at a target when the time of
 // targets is over. It returns how many it has ended, none before the grace period.
-func (s *Passages) EndOverdue(ctx context.Context, now ferry.Moment) (ended int) {
+func (s *Requests) EndOverdue(ctx context.Context, now ferry.Moment) (ended int) {
 	left, isStopping := s.Grace.Left(now)
 	if !isStopping {
 		return 0
@@ -280,7 +280,7 @@
 }
 
 // LogCut logs the requests in progress when the VM closes.
-func (s *Passages) LogCut(ctx context.Context, now ferry.Moment) {
+func (s *Requests) LogCut(ctx context.Context, now ferry.Moment) {
 	left, _ := s.Grace.Left(now)
 	for _, p := range s.list() {
 		s.Log.Write(ctx, Cut, left, p, now)
--- a/drain/stop.go
+++ b/drain/stop.go
@@ -31,7 +31,7 @@
 // Stop carries out a planned stop whose grace period has begun. All fields are required.
 type Stop struct {
 	Clock       ferry.Clock
-	Passages    *Passages
+	Requests    *Requests
 	Connections Connections
 	// MayClose reports whether callers have learned to go elsewhere, so that no more
 	// connections need to be accepted. remaining is the rest of the grace period.
@@ -52,13 +52,14 @@
 		case <-ticker.C:
 		}
 		now := s.Clock.Now()
-		if s.Passages.EndOverdue(ctx, now) > 0 {
+		ended := s.Requests.EndOverdue(ctx, now)
+		remaining, _ := s.Requests.Grace.Remaining(now)
+		if ended > 0 && remaining > 0 {
 			// Their answers are written first, also by a VM that was held up until the end.
 			continue
 		}
-		remaining, _ := s.Passages.Grace.Remaining(now)
 		if remaining <= exitMargin {
-			s.Passages.LogCut(ctx, now)
+			s.Requests.LogCut(ctx, now)
 			return false
 		}
 		if isListening && s.MayClose(now, remaining) {
@@ -80,7 +81,7 @@
 // closeQuiet closes the connections of callers that have no request. Once the time of
 // targets is over, none is waited for: it would be refused.
 func (s Stop) closeQuiet(now ferry.Moment) {
-	if left, _ := s.Passages.Grace.Left(now); left <= 0 {
+	if left, _ := s.Requests.Grace.Left(now); left <= 0 {
 		s.Connections.CloseUnread()
 		return
 	}
--- a/host/stop.go
+++ b/host/stop.go
@@ -45,7 +45,7 @@
 	h.control.post(ctx, controlEvent{member: member.LeaveEvent{}})
 	h.callers.beginDrain(h.clock.Now())
 	stop := drain.Stop{
-		Clock: h.clock, Passages: h.requests.Passages(), Connections: connections, Log: h.log,
+		Clock: h.clock, Requests: h.requests.Requests(), Connections: connections, Log: h.log,
 		MayClose: func(now ferry.Moment, remaining time.Duration) bool {
 			return h.callers.isDrained(now) || remaining <= time.Duration((1-maxListenShare)*float64(h.settings.StopPeriod()))
 		},
--- a/node/drain.go
+++ b/node/drain.go
@@ -38,7 +38,7 @@
 	period, _ := n.grace.Remaining(n.clock.Now())
 	listenUntil := period - min(listenAfterDrain, time.Duration(maxListenShare*float64(period)))
 	stop := drain.Stop{
-		Clock: n.clock, Passages: n.server.Passages(), Connections: n.listener, Log: n.log,
+		Clock: n.clock, Requests: n.server.Requests(), Connections: n.listener, Log: n.log,
 		MayClose: func(_ ferry.Moment, remaining time.Duration) bool { return remaining <= listenUntil },
 	}
 	switch {
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -172,7 +172,7 @@
 	}
 	s.worstOutcome = max(s.worstOutcome, result.Outcome)
 	if s.worstOutcome.IsSafeToRetry() {
-		drain.PassageOf(ctx).Enter(drain.StageWaiting)
+		drain.RequestOf(ctx).Enter(drain.StageWaiting)
 	}
 	f.config.Observer.Observe(f.config.Clock.Now(), pick.Target, result)
 	f.logAttempt(s, pick, number, result)
@@ -298,7 +298,7 @@
 	defer a.cancel(nil)
 	defer func() { _ = response.Body.Close() }()
 	// A planned stop that has ended the request would cut the response.
-	if !drain.PassageOf(ctx).Enter(drain.StageAnswered) {
+	if !drain.RequestOf(ctx).Enter(drain.StageAnswered) {
 		return ferry.VerdictNone, unknownRefusal()
 	}
 	writer := a.exchange.Writer
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -25,7 +25,7 @@
 	newID     func() string
 	log       *slog.Logger
 	metrics   *Metrics
-	passages  drain.Passages
+	requests  drain.Requests
 }
 
 // NewServer returns a handler that passes requests through the chain. The
@@ -33,20 +33,20 @@
 func NewServer(chain ferry.Handler, snapshots Snapshots, clock ferry.Clock, newID func() string, log *slog.Logger, metrics *Metrics) *Server {
 	return &Server{
 		chain: chain, snapshots: snapshots, clock: clock, newID: newID, log: log, metrics: metrics,
-		passages: drain.Passages{Log: newStopLog(log, metrics)},
+		requests: drain.Requests{Log: newStopLog(log, metrics)},
 	}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	exchange := &ferry.Exchange{
-		Request: request, Writer: drain.ResponseWriter{ResponseWriter: writer, Grace: s.passages.Grace}, ID: s.newID(),
+		Request: request, Writer: drain.ResponseWriter{ResponseWriter: writer, Grace: s.requests.Grace}, ID: s.newID(),
 		Arrived: s.clock.Now(), Snapshot: s.snapshots.Snapshot(),
 	}
 	body := request.Body
 	s.metrics.requests.Inc()
-	ctx, p := s.passages.Enter(request.Context(), exchange.ID, exchange.Arrived)
-	defer s.passages.Leave(p)
+	ctx, p := s.requests.Enter(request.Context(), exchange.ID, exchange.Arrived)
+	defer s.requests.Leave(p)
 	err := p.Result(ctx, s.handle(ctx, exchange))
 	s.metrics.duration.Update(s.clock.Now().Since(exchange.Arrived).Seconds())
 	if err == nil {
@@ -58,7 +58,7 @@
 		s.log.Warn("aborted", slog.String("request", exchange.ID), slog.String("error", trace.UserMessage(err)))
 		panic(http.ErrAbortHandler)
 	}
-	if s.passages.Grace.IsStopping() {
+	if s.requests.Grace.IsStopping() {
 		// There is no time to wait for the rest of a body.
 		writer.Header().Set("Connection", "close")
 		_ = http.NewResponseController(writer).SetReadDeadline(time.Unix(1, 0))
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -16,7 +16,7 @@
 // Filter implements ferry.Filter.
 func (f StopFilter) Filter(ctx context.Context, exchange *ferry.Exchange, next ferry.Handler) error {
 	demand := f.Forwarder.demand(exchange)
-	drain.PassageOf(ctx).SetDemand(demand)
+	drain.RequestOf(ctx).SetDemand(demand)
 	now := f.Forwarder.config.Clock.Now()
 	if err := f.Forwarder.stopLog.Check(ctx, f.Forwarder.config.Grace, now, demand.At(now)); err != nil {
 		return err
@@ -61,7 +61,7 @@
 
 // maySend notes that a target gets a request, unless a planned stop has ended it.
 func (f *Forwarder) maySend(ctx context.Context, target *ferry.Target) bool {
-	p := drain.PassageOf(ctx)
+	p := drain.RequestOf(ctx)
 	if !p.Send(target) {
 		return false
 	}
@@ -79,7 +79,7 @@
 
 // SetGrace sets the grace period of planned stops. It must be called before the first
 // request; without it, the VM never stops.
-func (s *Server) SetGrace(grace *drain.Grace) { s.passages.Grace = grace }
+func (s *Server) SetGrace(grace *drain.Grace) { s.requests.Grace = grace }
 
-// Passages returns the requests in progress.
-func (s *Server) Passages() *drain.Passages { return &s.passages }
+// Requests returns the requests in progress.
+func (s *Server) Requests() *drain.Requests { return &s.requests }
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -16,7 +16,7 @@
 
 // stopAt ends all requests of a server as a planned stop does at its end.
 func stopAt(f *fixture, at time.Duration) {
-	f.proxyServer.Passages().EndOverdue(context.Background(), ferry.Moment{Monotonic: at, Wall: at})
+	f.proxyServer.Requests().EndOverdue(context.Background(), ferry.Moment{Monotonic: at, Wall: at})
 }
 
 // roundTripFunc is an http.RoundTripper.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -254,7 +254,7 @@
 	if !ok {
 		return f.refuseWithoutTarget(now, r, wanted)
 	}
-	p := drain.PassageOf(ctx)
+	p := drain.RequestOf(ctx)
 	if !p.Send(pick.Target) {
 		f.chooser.Release(now, pick, place.Report{Verdict: ferry.VerdictNone})
 		return drain.Refusal()
--- a/relay/response.go
+++ b/relay/response.go
@@ -23,7 +23,7 @@
 		return f.refuse(r, http.StatusBadGateway, ferry.ReasonTargetFailed, 0, "the target failed with status "+strconv.Itoa(status))
 	}
 	// A planned stop that has ended the request would cut the rest of the response.
-	if !drain.PassageOf(ctx).Enter(drain.StageAnswered) && a.response.rest != nil {
+	if !drain.RequestOf(ctx).Enter(drain.StageAnswered) && a.response.rest != nil {
 		a.response.release(false)
 		return f.refuseStopping(r)
 	}
--- a/relay/room.go
+++ b/relay/room.go
@@ -250,7 +250,7 @@
 	}
 	// Nothing is in flight whose missing response would count.
 	r.checkpoints = nil
-	drain.PassageOf(ctx).Enter(drain.StageWaiting)
+	drain.RequestOf(ctx).Enter(drain.StageWaiting)
 	if err = f.awaitRoom(ctx, sendCtx, r, decision); err != nil {
 		return true, err
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -42,8 +42,8 @@
 	inFlight  atomic.Int64
 	// firstWaiting is the number of requests that wait for the first configuration.
 	firstWaiting atomic.Int64
-	// passages holds the requests in progress.
-	passages drain.Passages
+	// requests holds the requests in progress.
+	requests drain.Requests
 }
 
 // NewServer returns a handler that passes requests through the chain.
@@ -52,7 +52,7 @@
 ) *Server {
 	return &Server{
 		chain: chain, snapshots: snapshots, dialect: dialect, clock: clock, log: log, metrics: metrics,
-		passages: drain.Passages{Log: newStopLog(log, metrics)},
+		requests: drain.Requests{Log: newStopLog(log, metrics)},
 	}
 }
 
@@ -64,12 +64,12 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	exchange := &ferry.Exchange{
-		Request: request, Writer: drain.ResponseWriter{ResponseWriter: writer, Grace: s.passages.Grace}, Arrived: s.clock.Now(),
+		Request: request, Writer: drain.ResponseWriter{ResponseWriter: writer, Grace: s.requests.Grace}, Arrived: s.clock.Now(),
 		Snapshot: s.snapshots.Snapshot(), Metadata: s.dialect.ReadRequest(request.Header),
 	}
 	exchange.ID = exchange.Metadata.ID
-	ctx, p := s.passages.Enter(request.Context(), exchange.ID, exchange.Arrived)
-	defer s.passages.Leave(p)
+	ctx, p := s.requests.Enter(request.Context(), exchange.ID, exchange.Arrived)
+	defer s.requests.Leave(p)
 	err := p.Result(ctx, s.handle(ctx, exchange))
 	took := s.clock.Now().Since(exchange.Arrived)
 	if err == nil {
@@ -128,7 +128,7 @@
 	s.log.Info("refused", "request", exchange.ID, "route", route, "account", accountID(exchange), "status", refusal.Status,
 		"reason", refusal.Reason, "outcome", refusal.Outcome.String(), "retryAfter", refusal.RetryAfter,
 		"took", took, "version", snapshotVersion(exchange.Snapshot), "detail", refusal.Detail)
-	if s.passages.Grace.IsStopping() {
+	if s.requests.Grace.IsStopping() {
 		exchange.Writer.Header().Set("Connection", "close")
 	}
 	s.leaveBody(exchange, refusal)
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -16,7 +16,7 @@
 
 // Filter implements ferry.Filter.
 func (f StopFilter) Filter(ctx context.Context, exchange *ferry.Exchange, next ferry.Handler) error {
-	drain.PassageOf(ctx).SetDemand(f.Forwarder.demand(exchange))
+	drain.RequestOf(ctx).SetDemand(f.Forwarder.demand(exchange))
 	if err := f.Forwarder.checkGrace(ctx, f.Forwarder.clock.Now(), exchange); err != nil {
 		return err
 	}
@@ -80,7 +80,7 @@
 
 // SetGrace sets the grace period of planned stops. It must be called before the first
 // request; without it, the VM never stops.
-func (s *Server) SetGrace(grace *drain.Grace) { s.passages.Grace = grace }
+func (s *Server) SetGrace(grace *drain.Grace) { s.requests.Grace = grace }
 
-// Passages returns the requests in progress.
-func (s *Server) Passages() *drain.Passages { return &s.passages }
+// Requests returns the requests in progress.
+func (s *Server) Requests() *drain.Requests { return &s.requests }
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -29,7 +29,7 @@
 	t.Cleanup(cancel)
 	go func() {
 		for ctx.Err() == nil {
-			h.server.Passages().EndOverdue(ctx, h.forwarder.clock.Now())
+			h.server.Requests().EndOverdue(ctx, h.forwarder.clock.Now())
 			time.Sleep(5 * time.Millisecond)
 		}
 	}()
@@ -286,7 +286,7 @@
 	h.forwarder.guard = guard
 	h.grace.Begin(h.forwarder.clock.Now(), 2*time.Second)
 	hook := func() {
-		h.server.Passages().EndOverdue(t.Context(), h.forwarder.clock.Now().Add(1500*time.Millisecond))
+		h.server.Requests().EndOverdue(t.Context(), h.forwarder.clock.Now().Add(1500*time.Millisecond))
 	}
 	guard.hook.Store(&hook)
 	got := h.call(t.Context(), http.MethodPost, "/upload/x", "b")
@@ -473,7 +473,7 @@
 			// The hedge of the request: its goroutine is held up until both have happened.
 			h.eventually(t, func() bool { return h.pool.Idle() == 1 })
 			h.grace.Begin(ferry.Moment{}, time.Nanosecond)
-			h.server.Passages().EndOverdue(t.Context(), h.forwarder.clock.Now())
+			h.server.Requests().EndOverdue(t.Context(), h.forwarder.clock.Now())
 			time.Sleep(20 * time.Millisecond)
 		}
 		guard.hook.Store(&hook)
