drain: the end of an idle connection reads no request that crosses it

A request that crossed that end was read whole, and its caller learnt of the end late. Change: only a connection whose last response may be in transit lingers; an idle one is closed, and a request that crosses its end is reset unread. Evidence: TestRequestThatCrossesIdleCloseIsNotRead fails without the change.

--- a/drain/bounds.go
+++ b/drain/bounds.go
@@ -136,6 +136,7 @@
 		var n int
 		n, err = c.TCPConn.Write(p[written:min(len(p), written+writeSize)])
 		written += n
+		c.wroteAt.Store(int64(time.Since(c.started)))
 		if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = nil
 		}
--- a/drain/listener.go
+++ b/drain/listener.go
@@ -71,9 +71,9 @@
 	address  netip.Addr
 	started  time.Time
 	// waitsSince is when the connection began to wait for a request, partAt when the
-	// first bytes of one were read after that, and readAt when the last bytes were
-	// read, as times since started.
-	waitsSince, partAt, readAt atomic.Int64
+	// first bytes of one were read after that, and readAt and wroteAt when the last bytes
+	// were read and written, as times since started.
+	waitsSince, partAt, readAt, wroteAt atomic.Int64
 	// isActive reports that a request is being handled.
 	isActive atomic.Bool
 	// requests counts the requests whose header was read.
@@ -139,11 +139,16 @@
 
 // Close implements net.Conn. A connection with unread bytes is reset when it is closed,
 // which would take the last response away from a caller that has sent more. So only the
-// sending side is closed at first, and what still arrives is discarded.
+// sending side is closed at first, and what still arrives is discarded. A connection that
+// waits for a request has no response in transit: a request that crosses its end is reset,
+// so that its caller learns at once that nobody has read it.
 func (c *connection) Close() error {
 	if c.isClosed.Swap(true) {
 		return net.ErrClosed
 	}
+	if c.wroteAt.Load() <= c.waitsSince.Load() {
+		return c.TCPConn.Close()
+	}
 	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return c.TCPConn.Close()
 	}
--- a/drain/listener_test.go
+++ b/drain/listener_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -370,3 +371,31 @@
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
 }
+
+// The end of an idle connection discards no request that crosses it.
+func TestRequestThatCrossesIdleCloseIsNotRead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := startServer(t)
+	conn, err := net.Dial("tcp4", s.listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\nId: a\r\n\r\n")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.True(!response.Close)
+	time.Sleep(quietTime)
+	is.Equal(s.listener.CloseQuiet(quietTime), 1)
+	s.waitClosed(t, conn.LocalAddr())
+	is.Equal(s.listener.Usage().Open, 0) // nothing is read from the connection any more
+	// The caller doesn't look for the end before it sends.
+	_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nId: b\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(lingerTimeout / 2)))
+	for err == nil {
+		time.Sleep(time.Millisecond)
+		_, err = io.WriteString(conn, "x")
+	}
+	is.True(errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET))
+}
