relay: a panic of a handler is logged with the request's id

It ends the connection of its caller without a response, and package http's own line has the level debug, so that it could not be told from other causes of LOST.

--- a/relay/server.go
+++ b/relay/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +70,7 @@
 		Snapshot: s.snapshots.Snapshot(), Metadata: s.dialect.ReadRequest(request.Header),
 	}
 	exchange.ID = exchange.Metadata.ID
+	defer s.logPanic(exchange)
 	ctx, p := s.requests.Enter(request.Context(), exchange.ID, exchange.Arrived)
 	defer s.requests.Leave(p)
 	err := p.Result(ctx, s.handle(ctx, exchange))
@@ -87,6 +90,17 @@
 	s.refuse(exchange, refusal, took)
 }
 
+// logPanic logs a panic of a handler with the request's ID. Package http ends the
+// connection without a response then.
+func (s *Server) logPanic(exchange *ferry.Exchange) {
+	if value := recover(); value != nil {
+		if err, ok := value.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+			s.log.Error("handler panicked", "request", exchange.ID, "value", fmt.Sprint(value), "stack", string(debug.Stack()))
+		}
+		panic(value)
+	}
+}
+
 func (s *Server) handle(ctx context.Context, exchange *ferry.Exchange) error {
 	if exchange.Snapshot == nil {
 		exchange.Snapshot = s.waitFirst(ctx, exchange)
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -483,3 +483,17 @@
 		}
 	}
 }
+
+// Package http ends the connection of a request whose handler panics without a response.
+func TestPanicOfHandlerIsLogged(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	log := &lockedBuffer{}
+	h := newLoggedHarness(t, slog.NewTextHandler(log, nil), startTarget(t, "a", respondOK))
+	guard := &closingGuard{}
+	h.forwarder.guard = guard
+	hook := func() { panic("broken") }
+	guard.hook.Store(&hook)
+	is.True(h.call(t.Context(), http.MethodPost, "/unsafe/x", "b").err != nil)
+	is.Equal(len(log.linesWith("handler panicked", "request=id-/unsafe/x", "value=broken")), 1)
+}
