drain: a connection on which a request has come isn't closed as idle

Cause, by reading: once CloseOverdue has found a connection idle it ends the read of the server by a deadline. Change: when the deadline ends the read of an idle connection, and input waits, the connection goes on and the request is served. A request in progress keeps no deadline of such a connection. Evidence: TestRequestThatComesWhileIdleConnectionEndsIsRead fails without the change.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -126,12 +126,17 @@
 			}
 			return n, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isExpired.Load() || !c.hasPart() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isExpired.Load() || !c.hasPart() && !HasInput(c) {
 			return n, err
 		}
-		// The part of a request was read when CloseQuiet had found none.
+		// A part of a request has come since CloseQuiet or CloseOverdue found none. A VM that
+		// is held up reads it only now.
 		c.isExpired.Store(false)
-		if err = c.SetReadDeadline(time.Now().Add(partTimeout)); err != nil {
+		var deadline time.Time
+		if !c.isActive.Load() {
+			deadline = time.Now().Add(partTimeout)
+		}
+		if err = c.SetReadDeadline(deadline); err != nil {
 			return 0, err
 		}
 	}
--- a/drain/listener_test.go
+++ b/drain/listener_test.go
@@ -399,3 +399,30 @@
 	}
 	is.True(errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET))
 }
+
+// A server that is held up after CloseQuiet or CloseOverdue has found no request reads the
+// one that has come meanwhile.
+func TestRequestThatComesWhileIdleConnectionEndsIsRead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tcp, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	listener := NewListener(tcp)
+	caller, err := net.Dial("tcp4", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = caller.Close() }()
+	conn, err := listener.Accept()
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	time.Sleep(time.Millisecond)
+	is.Equal(listener.CloseOverdue(time.Millisecond, time.Minute), 1)
+	_, err = io.WriteString(caller, "GET")
+	is.NoErr(err)
+	for deadline := time.Now().Add(time.Second); !HasInput(conn.(*connection)) && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	read := make([]byte, 10)
+	n, err := conn.Read(read)
+	is.NoErr(err)
+	is.Equal(string(read[:n]), "GET")
+}
