--- a/lead/codec.go
+++ b/lead/codec.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// maxUnpackedBytes bounds an Update. The platform stores values of up to 1 MB.
-	maxUnpackedBytes = 16 << 20
+	// maxUnpackedBytes bounds an Update: the configuration, of up to 1 MB, and the records of
+	// ten thousand targets. A VM holds it more than once while it is decoded.
+	maxUnpackedBytes = 8 << 20
 	// maxUpdateRecords bounds the records of an Update: each takes far more memory than
 	// the two bytes of an empty one.
 	maxUpdateRecords = 1 << 16
