host: TestChangeCutsNothingOnItsWay changes the route once the request has arrived

Trace: only RouteFilter answers 404, by the configuration in force when the request arrives (proxy.Server reads it once, at the start), so the request came after the change, and 404 'not run' is right. The test sent it and changed the route at once. Now it waits until the VM handles all four requests, and then as long as elsewhere. No expectation changed.

--- a/host/change_test.go
+++ b/host/change_test.go
@@ -23,6 +23,9 @@
 	callers["body"].send(head + "or")
 	time.Sleep(settleTime)
 	waitingID = callers["waiting"].sendOrder(0)
+	// A request that arrives after the change is handled by it.
+	l.await("all requests have arrived", func() bool { return l.vm.host.callers.inFlight.Load() == int64(len(callers)) })
+	time.Sleep(settleTime)
 	change(l.inventory)
 	l.inventory.Version++
 	l.publish()
