--- a/review/_stand2/lab.go
+++ b/review/_stand2/lab.go
@@ -64,8 +64,11 @@
 	folder  string
 	store   *fake.Store
 	address string
-	first   byte
-	vms     []*vm
+	// prefix begins the addresses of the VMs.
+	prefix string
+	// seeds replaces the control addresses of the first VMs in the settings.
+	seeds []string
+	vms   []*vm
 }
 
 // vm is one VM.
@@ -96,6 +99,7 @@
 	for try := 0; ; try++ {
 		prefix := fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
 		if isFree(prefix, vms) {
+			l.prefix = prefix
 			for i := range vms {
 				l.vms = append(l.vms, &vm{name: fmt.Sprintf("edge-%d", i+1), host: fmt.Sprintf("%s%d", prefix, i+1)})
 			}
@@ -124,9 +128,11 @@
 
 // writeSettings writes the settings that deploy/settings.json renders for a small site.
 func (l *lab) writeSettings(v *vm, isFirst bool) error {
-	var seeds []string
-	for _, other := range l.vms[:min(3, len(l.vms))] {
-		seeds = append(seeds, other.host+":8407")
+	seeds := l.seeds
+	if seeds == nil {
+		for _, other := range l.vms[:min(3, len(l.vms))] {
+			seeds = append(seeds, other.host+":8407")
+		}
 	}
 	text, err := json.Marshal(map[string]any{
 		"ID": v.name, "Place": "osijek-a", "Places": map[string]string{"osijek-a": "slavonija"}, "Address": v.host,
