--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -4,4 +4,5 @@
 var cases = map[string]func(r *record, hasTrouble bool) (broken string, err error){
 	"reset-unframed": playResetUnframed,
 	"retry-budget":   playBudget,
+	"two-halves":     playQuota,
 }
