--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -4,5 +4,6 @@
 var cases = map[string]func(r *record, hasTrouble bool) (broken string, err error){
 	"reset-unframed": playResetUnframed,
 	"retry-budget":   playBudget,
-	"two-halves":     playQuota,
+	"two-halves":     playTwoHalves,
+	"seeds-down":     playSeedsDown,
 }
--- a/review/_stand2/quota.go
+++ b/review/_stand2/quota.go
@@ -11,11 +11,10 @@
 )
 
 const (
-	quotaVMs = 4
 	// quotaRate and quotaBurst are the limits of the tenant.
 	quotaRate, quotaBurst = 59, 59
-	// quotaPerSecond is the number of its requests to each VM in a second.
-	quotaPerSecond = 60
+	// quotaPerSecond is the number of its requests to all VMs in a second.
+	quotaPerSecond = 240
 	quotaTraffic   = 12 * time.Second
 	// The bounds of the site.
 	quotaWindow  = 5 * time.Second
@@ -53,10 +52,30 @@
 	}
 }
 
-// playQuota starts a fleet for the first time. With trouble, the seeds of one half of the
-// VMs are stale: they name VMs of this half only, as the others' do.
-func playQuota(r *record, hasTrouble bool) (broken string, err error) {
-	l, err := newLab(r, quotaVMs)
+// playTwoHalves starts four VMs for the first time. With trouble, the seeds of each half
+// name VMs of this half only, and a machine that is down.
+func playTwoHalves(r *record, hasTrouble bool) (broken string, err error) {
+	return playQuota(r, 4, hasTrouble, func(l *lab, index int) []string {
+		half := l.vms[:2]
+		if index >= 2 {
+			half = l.vms[2:]
+		}
+		return []string{half[0].host + ":8407", half[1].host + ":8407", l.prefix + "101:8407"}
+	})
+}
+
+// playSeedsDown starts nine VMs of one place for the first time. With trouble, the three
+// machines that the seeds name are down.
+func playSeedsDown(r *record, hasTrouble bool) (broken string, err error) {
+	return playQuota(r, 9, hasTrouble, func(l *lab, _ int) []string {
+		return []string{l.prefix + "101:8407", l.prefix + "102:8407", l.prefix + "103:8407"}
+	})
+}
+
+// playQuota starts a fleet for the first time and sends it more requests of a tenant than
+// its limit. With trouble, the settings of each VM name the given seeds.
+func playQuota(r *record, vms int, hasTrouble bool, seeds func(l *lab, index int) []string) (broken string, err error) {
+	l, err := newLab(r, vms)
 	if err != nil {
 		return "", err
 	}
@@ -83,12 +102,8 @@
 		[]map[string]any{{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "ratePerS": quotaRate, "burst": quotaBurst}})
 	for i, v := range l.vms {
 		if hasTrouble {
-			half := l.vms[:quotaVMs/2]
-			if i >= quotaVMs/2 {
-				half = l.vms[quotaVMs/2:]
-			}
-			l.seeds = []string{half[0].host + ":8407", half[1].host + ":8407", l.prefix + "101:8407"}
-			r.line("the seeds of %s are %v, the last one is down", v.name, l.seeds)
+			l.seeds = seeds(l, i)
+			r.line("the seeds of %s are %v", v.name, l.seeds)
 		}
 		if err = l.start(v, true); err != nil {
 			return "", err
@@ -130,7 +145,7 @@
 	begin := time.Now()
 	for _, v := range l.vms {
 		wait.Go(func() {
-			ticker := time.NewTicker(time.Second / quotaPerSecond)
+			ticker := time.NewTicker(time.Second * time.Duration(len(l.vms)) / quotaPerSecond)
 			defer ticker.Stop()
 			for time.Since(begin) < quotaTraffic {
 				<-ticker.C
