relay, socket: a connection that was lost doesn't look like the end of a response

Cause: the kernel gives the error of a socket out once. The write of the upload, which was in progress, took ECONNRESET; roundTrip reads on after a failed write, as a target may have refused early, and the reads got what had arrived and a plain end of file.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -18,6 +18,7 @@
 
 	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/flight"
+	"monsoonferry.org/ferry/socket"
 )
 
 const (
@@ -77,6 +78,7 @@
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
+	connection = socket.New(connection)
 	limit := &readLimit{source: connection}
 	return &conn{Conn: connection, reader: bufio.NewReaderSize(limit, bufferSize), limit: limit, idleTimeout: defaultIdleTimeout}, nil
 }
