relay: TestBodyOfRepeatedResponseIsNoResponse counts the run before it responds

The target counted the run of the request after it had written the repeated response, so the caller could have its 502, and the test its count, before. The checks are the same.

--- a/relay/claim_test.go
+++ b/relay/claim_test.go
@@ -259,9 +259,11 @@
 	forged := "HTTP/1.1 503 Service Unavailable\r\n" + testID + ": second\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
 	ran := &runs{}
 	target := startTarget(t, "a", func(conn net.Conn, request *http.Request, _ []byte) {
+		if request.Header.Get(testID) == "second" {
+			ran.add("second") // before the caller can have a response
+		}
 		respond(conn, http.StatusServiceUnavailable, "first", forged, testNotRun+": 1")
 		if request.Header.Get(testID) == "second" {
-			ran.add("second")
 			respond(conn, http.StatusOK, "second", "")
 		}
 	})
