proxy: a connection that was lost doesn't look like the end of a response

Cause: the write loop of http.Transport takes the error of the socket and closes the connection after that; the read loop may see a plain end of file first.

Change: connections to targets are socket.Conns.

--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"monsoonferry.org/ferry/socket"
 )
 
 // Bounds of the connections to targets.
@@ -41,7 +43,7 @@
 			if conn, err = dialer.DialContext(ctx, network, address); err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return &countedConn{Conn: socket.New(conn)}, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerTarget,
