retry: the budgets of the relay move beside those of the old stack

FleetBudgets (relay.RetryBudgets before) no longer depends on the data path, so that it can be tested with simulated fleets of package lead, and takes its bounds as one struct. The node sets them in one function.

--- a/node/loop.go
+++ b/node/loop.go
@@ -126,8 +126,8 @@
 	n.limiter.tick()
 	n.tickPlaceCaches()
 	now := n.clock.Now()
-	bounds := n.state.bounds.Load()
-	n.budgets.SetBounds(bounds.RetryRatio, bounds.RetrySlack, n.controller.FleetSize())
+	division := n.controller.Division(now)
+	n.setRetryBounds(division)
 	if now.Monotonic-n.sweptAt > sweepInterval {
 		n.sweptAt = now.Monotonic
 		n.pool.Sweep(now.Monotonic, n.isListed)
@@ -136,7 +136,7 @@
 	}
 	n.logFreshness()
 	n.logViewSize()
-	n.logDivision(now)
+	n.logDivision(now, division)
 	n.traffic.log(now.Monotonic, n.log)
 	n.logBudgets(now.Monotonic)
 }
@@ -256,10 +256,9 @@
 	}
 }
 
-// logDivision logs when this VM divides the allowances among another number of VMs,
-// or learns or no longer knows the size of the fleet.
-func (n *Node) logDivision(now ferry.Moment) {
-	division := n.controller.Division(now)
+// logDivision logs when this VM divides the allowances and the retry slack among another
+// number of VMs, or learns or no longer knows the size of the fleet.
+func (n *Node) logDivision(now ferry.Moment, division lead.Division) {
 	if division.Divisor == n.division.Divisor && division.IsKnown == n.division.IsKnown {
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"monsoonferry.org/ferry/lead"
 	"monsoonferry.org/ferry/place"
 	"monsoonferry.org/ferry/relay"
+	"monsoonferry.org/ferry/retry"
 )
 
 const (
@@ -70,7 +71,7 @@
 	state         *requestState
 	directory     *Directory
 	chooser       *place.Chooser
-	budgets       *relay.RetryBudgets
+	budgets       *retry.FleetBudgets
 	pool          *relay.Pool
 	server        *relay.Server
 	grace         drain.Grace
@@ -125,7 +126,7 @@
 		state:        &requestState{clock: dependencies.Clock, first: make(chan struct{})},
 		directory:    &Directory{regions: settings.Regions, lifetime: settings.Bounds.EntryLifetime},
 		chooser:      place.NewChooser(settings.Place, settings.Regions),
-		budgets:      &relay.RetryBudgets{},
+		budgets:      &retry.FleetBudgets{},
 		pool:         &relay.Pool{},
 		events:       make(chan any, maxQueuedEvents),
 		drainStarted: make(chan struct{}),
@@ -144,7 +145,6 @@
 	n.chooser.SetSeed(rand.Uint64())
 	n.chooser.SetEvenLoad(evenLoad(settings))
 	n.registerSlotMetrics()
-	n.budgets.SetBounds(bounds.RetryRatio, bounds.RetrySlack, 1)
 	n.limiter = &tokenLimiter{clock: dependencies.Clock, send: n.sendTokenRequest, caches: map[ferry.AccountID]*grant.TokenCache{}}
 	counters := relay.NewMetrics(n.metrics)
 	n.forwarder = relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
@@ -160,6 +160,7 @@
 	}
 	n.controller = lead.NewController(dependencies.Clock.Now(), self, settings.Seeds, dependencies.Decoder,
 		lead.Options{CanRead: true, IsFirst: settings.IsFirst, FleetSize: settings.FleetSize, Regions: settings.Regions, TargetHeartbeat: settings.TargetHeartbeat, Jitter: rand.Float64()})
+	n.setRetryBounds(n.controller.Division(dependencies.Clock.Now()))
 	return n
 }
 
--- a/relay/claim_test.go
+++ b/relay/claim_test.go
@@ -22,6 +22,7 @@
 
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/flight"
+	"monsoonferry.org/ferry/retry"
 )
 
 const (
@@ -435,7 +436,7 @@
 		targets = append(targets, startTarget(t, id, faulty.serve))
 	}
 	h := newHarness(t, targets...)
-	h.budgets.SetBounds(1, 1000, 1)
+	h.budgets.SetBounds(retry.FleetBounds{Ratio: 1, Slack: 1000, VMs: 1})
 	type sent struct {
 		body     string
 		isUnsafe bool
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -14,6 +14,7 @@
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/place"
+	"monsoonferry.org/ferry/retry"
 	"monsoonferry.org/ferry/room"
 	"monsoonferry.org/ferry/timing"
 )
@@ -43,7 +44,7 @@
 	clock     ferry.Clock
 	dialect   ferry.Dialect
 	chooser   *place.Chooser
-	budgets   *RetryBudgets
+	budgets   *retry.FleetBudgets
 	pool      *Pool
 	guard     Guard
 	reporter  Reporter
@@ -61,7 +62,7 @@
 
 // NewForwarder returns a Forwarder.
 func NewForwarder(
-	clock ferry.Clock, dialect ferry.Dialect, chooser *place.Chooser, budgets *RetryBudgets, pool *Pool,
+	clock ferry.Clock, dialect ferry.Dialect, chooser *place.Chooser, budgets *retry.FleetBudgets, pool *Pool,
 	guard Guard, reporter Reporter, log *slog.Logger, metrics *Metrics,
 ) *Forwarder {
 	return &Forwarder{
@@ -387,7 +388,7 @@
 	if maxAttempts == 0 {
 		maxAttempts = defaultAttempts
 	}
-	wanted := Resend{Rank: rankOf(r.exchange), IsHedge: r.inFlight > 0}
+	wanted := retry.Resend{Rank: rankOf(r.exchange), IsHedge: r.inFlight > 0}
 	return r.possibleRuns+r.inFlight < maxAttempts && len(r.tried) < maxSends && f.budgets.TryWithdraw(monotonicTime(f.clock), r.service, wanted)
 }
 
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -25,6 +25,7 @@
 	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/flight"
 	"monsoonferry.org/ferry/place"
+	"monsoonferry.org/ferry/retry"
 )
 
 // Headers of testDialect.
@@ -205,7 +206,7 @@
 type harness struct {
 	httpServer *httptest.Server
 	server     *Server
-	budgets    *RetryBudgets
+	budgets    *retry.FleetBudgets
 	chooser    *place.Chooser
 	guard      *testGuard
 	targets    []*testTargetServer
@@ -248,8 +249,8 @@
 
 func newLoggedHarness(t testing.TB, handler slog.Handler, targets ...*testTargetServer) *harness {
 	t.Helper()
-	h := &harness{targets: targets, budgets: &RetryBudgets{}, guard: &testGuard{}, pool: &Pool{}}
-	h.budgets.SetBounds(1, 100, 1)
+	h := &harness{targets: targets, budgets: &retry.FleetBudgets{}, guard: &testGuard{}, pool: &Pool{}}
+	h.budgets.SetBounds(retry.FleetBounds{Ratio: 1, Slack: 100, VMs: 1})
 	h.chooser = place.NewChooser("here", ferry.Regions{"here": "region", "near": "region", "far": "other"})
 	list := make([]ferry.Target, 0, len(targets))
 	for _, target := range targets {
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -7,6 +7,9 @@
 // and every retry takes one, so that retries stay a bounded share of the
 // traffic. A service that sheds load as a whole receives no retries.
 //
+// FleetBudgets do so for fleets whose operators bound the retries of all VMs together: by a
+// ratio, which each VM applies to its own requests, and a slack, of which each has a part.
+//
 // # Usage
 //
 //	budget.Deposit(rules.RetryBudget)
--- a/relay/budget.go
+++ b/retry/fleet.go
@@ -1,4 +1,4 @@
-package relay
+package retry
 
 import (
 	"sync"
@@ -30,54 +30,64 @@
 	IsHedge bool
 }
 
-// RetryBudgets bound the retries of each service on this VM, so that the fleet
+// FleetBudgets bound the retries of each service on this VM, so that the fleet
 // as a whole keeps the operators' bound. A retry takes a token. Each first
 // attempt adds a fraction of a token, and each VM gets an equal part of the
-// fleet's slack. The zero RetryBudgets allow no retries; call SetBounds.
+// fleet's slack. The zero FleetBudgets allow no retries; call SetBounds.
 //
 // The last tokens go to the retries of most worth. While requests without another
 // chance want retries, hedges leave a part of the budget to them; while a more urgent
 // rank wants some, so do less urgent ranks. Without such a want every retry is equal.
-type RetryBudgets struct {
+type FleetBudgets struct {
 	mu               sync.Mutex
 	tokensPerRequest float64
 	maxTokens        float64
-	services         map[ferry.ServiceID]*retryBudget
+	services         map[ferry.ServiceID]*serviceBudget
 }
 
-// retryBudget is the budget of one service.
-type retryBudget struct {
+// serviceBudget is the budget of one service.
+type serviceBudget struct {
 	tokens float64
 	// wantedUntil is, by rank, when a wanted resend stops to keep tokens for its rank.
 	wantedUntil [room.MaxRanks]time.Duration
 }
 
-// SetBounds sets the number of retries per first attempt and the fleet's slack
-// in retries, which is divided among the given number of VMs.
-func (b *RetryBudgets) SetBounds(ratio, slack float64, vms int) {
+// FleetBounds are the operators' bound on the retries of the whole fleet, and what a VM
+// knows of the others that use it.
+type FleetBounds struct {
+	// Ratio is the number of retries per first attempt.
+	Ratio float64
+	// Slack is the number of retries beyond that.
+	Slack float64
+	// VMs is the number of VMs among which the slack is divided. Values below 1 count as 1.
+	VMs int
+}
+
+// SetBounds sets the bounds.
+func (b *FleetBudgets) SetBounds(bounds FleetBounds) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokensPerRequest = ratio * budgetShare
-	b.maxTokens = max(1, slack*budgetShare/float64(max(1, vms)))
+	b.tokensPerRequest = bounds.Ratio * budgetShare
+	b.maxTokens = max(1, bounds.Slack*budgetShare/float64(max(1, bounds.VMs)))
 }
 
 // Deposit adds the tokens of a first attempt.
-func (b *RetryBudgets) Deposit(service ferry.ServiceID) {
+func (b *FleetBudgets) Deposit(service ferry.ServiceID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.services == nil {
-		b.services = map[ferry.ServiceID]*retryBudget{}
+		b.services = map[ferry.ServiceID]*serviceBudget{}
 	}
 	budget := b.services[service]
 	if budget == nil {
-		budget = &retryBudget{tokens: b.maxTokens}
+		budget = &serviceBudget{tokens: b.maxTokens}
 		b.services[service] = budget
 	}
 	budget.tokens = min(b.maxTokens, budget.tokens+b.tokensPerRequest)
 }
 
 // TryWithdraw takes the token of a retry. It reports whether there was one for it.
-func (b *RetryBudgets) TryWithdraw(now time.Duration, service ferry.ServiceID, wanted Resend) bool {
+func (b *FleetBudgets) TryWithdraw(now time.Duration, service ferry.ServiceID, wanted Resend) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	budget := b.services[service]
@@ -97,7 +107,7 @@
 }
 
 // reserve is the part of the budget that a retry leaves to those of more worth.
-func (b *retryBudget) reserve(now time.Duration, rank int, isHedge bool) float64 {
+func (b *serviceBudget) reserve(now time.Duration, rank int, isHedge bool) float64 {
 	for i, until := range b.wantedUntil {
 		switch {
 		case now >= until:
