node: the fleet's retry slack is divided as the allowances are

Cause: the slack was divided by the number of VMs that a VM has seen, which is 1 for one that has met nobody, and by 1 until the first tick. The allowances are divided by a number that assumes a fleet then. Two places answered the same question in two ways.

Change: lead.Division is the answer for whatever the fleet has in common, and the retry budget takes it, also before the first tick.

--- a/lead/division.go
+++ b/lead/division.go
@@ -6,9 +6,12 @@
 	"monsoonferry.org/ferry"
 )
 
-// Division describes among how many VMs this VM divides the allowances, and why.
+// Division describes among how many VMs this VM divides what the fleet has in common, and
+// why: the allowances of client accounts and the slack for retries. Nothing of that kind is
+// divided by another number, so that a VM assumes the same of VMs that it hasn't met
+// wherever the sum over all of them is bounded.
 type Division struct {
-	// Divisor is the number of VMs among which the allowances are divided.
+	// Divisor is the number of VMs among which the fleet's bounds are divided.
 	Divisor int
 	// IsKnown reports that this VM knows the size of the fleet. Otherwise the
 	// Divisor is assumed.
@@ -39,7 +42,7 @@
 	return division
 }
 
-// denominator returns the number of VMs among which the allowances are divided.
+// denominator returns the number of VMs among which the fleet's bounds are divided.
 func (c *Controller) denominator(now ferry.Moment) int {
 	size := c.FleetSize()
 	if c.knowsFleetSize(now.Monotonic) {
--- a/node/retry.go
+++ b/node/retry.go
@@ -6,7 +6,7 @@
 )
 
 // setRetryBounds bounds the retries of this VM by its part of the operators' bound.
-func (n *Node) setRetryBounds(_ lead.Division) {
+func (n *Node) setRetryBounds(division lead.Division) {
 	bounds := n.state.bounds.Load()
-	n.budgets.SetBounds(retry.FleetBounds{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, VMs: n.controller.FleetSize()})
+	n.budgets.SetBounds(retry.FleetBounds{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, VMs: division.Divisor})
 }
