retry: a new process doesn't use the retry slack that others have used

What operators would see: more repeated requests than allowed in a window in which processes are replaced or VMs added: the new ones come with a full part of the slack, while that of the process before, or of the VMs that divided by one less, is spent.

Cause: the budget of a service starts with the part that its VM has at that moment. The bound counts what all processes used in the last window, also those that have ended.

Change: budgets get the slack once their process is older than the window and the time in which others learn of it, and none while their VM has met nobody. What the ratio adds needs no division and is there from the start. A part that shrinks takes the excess at once.

--- a/conf/node.go
+++ b/conf/node.go
@@ -72,8 +72,9 @@
 	// RetryRatio is the largest number of retries per first attempt, from 0 to 1.
 	RetryRatio float64
 	// RetrySlack is the largest number of retries of the whole fleet beyond that
-	// ratio, over any period.
-	RetrySlack float64
+	// ratio, in any RetryWindow.
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// Floor is the part of each service that stays in use even if its targets are
 	// unhealthy, from 0 to 1.
 	Floor float64
@@ -88,6 +89,7 @@
 	DefaultEntryLifetime  = 5 * time.Second
 	DefaultRetryRatio     = 0.1
 	DefaultRetrySlack     = 20.0
+	DefaultRetryWindow    = 10 * time.Second
 )
 
 // WithDefaults returns b with every zero field replaced by its default.
@@ -99,6 +101,7 @@
 	b.EntryLifetime = cmp.Or(b.EntryLifetime, DefaultEntryLifetime)
 	b.RetryRatio = cmp.Or(b.RetryRatio, DefaultRetryRatio)
 	b.RetrySlack = cmp.Or(b.RetrySlack, DefaultRetrySlack)
+	b.RetryWindow = cmp.Or(b.RetryWindow, DefaultRetryWindow)
 	b.Floor = cmp.Or(b.Floor, ferry.DefaultFloor)
 	return b
 }
--- a/lead/division.go
+++ b/lead/division.go
@@ -16,6 +16,11 @@
 	// IsKnown reports that this VM knows the size of the fleet. Otherwise the
 	// Divisor is assumed.
 	IsKnown bool
+	// Age is the time since the start of this process.
+	Age time.Duration
+	// IsIsolated reports that this VM has other seeds than itself and has met nobody, so that
+	// it can't know who else uses what is divided.
+	IsIsolated bool
 	// HasContact reports that another VM has sent a message.
 	HasContact bool
 	// ContactAge is the time since the first message of another VM.
@@ -32,6 +37,7 @@
 func (c *Controller) Division(now ferry.Moment) Division {
 	division := Division{
 		Divisor: c.denominator(now), IsKnown: c.knowsFleetSize(now.Monotonic), HasContact: c.hasContact, InView: len(c.view), Lost: len(c.lost),
+		Age: now.Monotonic - c.started, IsIsolated: !c.hasContact && len(c.seeds) > 0,
 	}
 	if c.hasContact {
 		division.ContactAge = now.Monotonic - c.contactAt
--- a/lead/retry_test.go
+++ b/lead/retry_test.go
@@ -3,6 +3,7 @@
 package lead
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -21,15 +22,15 @@
 // often as its budget allows.
 type retryFleet struct {
 	*simulation
-	// perStep is the number of requests that each VM gets in a step.
-	perStep  int
+	// every is the number of steps in which each VM gets one request.
+	every    int
 	budgets  map[*Controller]*retry.FleetBudgets
 	requests []int
 	retries  []int
 }
 
 func newRetryFleet(seed uint64, count int) *retryFleet {
-	return &retryFleet{simulation: newSimulation(seed, count), perStep: 1, budgets: map[*Controller]*retry.FleetBudgets{}}
+	return &retryFleet{simulation: newSimulation(seed, count), every: 1, budgets: map[*Controller]*retry.FleetBudgets{}}
 }
 
 // play simulates for a time.
@@ -37,7 +38,7 @@
 	for end := f.now + d; f.now < end; {
 		f.run(f.now+retryStep, nil)
 		requests, retries := 0, 0
-		for _, vm := range f.vms {
+		for i, vm := range f.vms {
 			if !vm.alive || f.now < vm.suspendedUntil {
 				continue
 			}
@@ -47,14 +48,19 @@
 				f.budgets[vm.controller] = budget
 			}
 			now := f.moment(vm)
-			budget.SetBounds(retry.FleetBounds{Ratio: retryRatio, Slack: retrySlack, VMs: vm.controller.Division(now).Divisor})
-			for range f.perStep {
-				budget.Deposit("service")
-				for budget.TryWithdraw(now.Monotonic, "service", retry.Resend{}) {
-					retries++
-				}
+			division := vm.controller.Division(now)
+			budget.SetBounds(retry.FleetBounds{
+				Ratio: retryRatio, Slack: retrySlack, Window: retryWindow,
+				VMs: division.Divisor, IsIsolated: division.IsIsolated, Age: division.Age,
+			})
+			if (len(f.requests)+i)%f.every > 0 {
+				continue
+			}
+			requests++
+			budget.Deposit("service")
+			for budget.TryWithdraw(now.Monotonic, "service", retry.Resend{}) {
+				retries++
 			}
-			requests += f.perStep
 		}
 		f.requests, f.retries = append(f.requests, requests), append(f.retries, retries)
 	}
@@ -105,3 +111,104 @@
 	f.play(time.Minute)
 	f.check(t)
 }
+
+// Sides of a partition keep the bound on the retries of both together.
+func TestRetriesOfPartitionedFleet(t *testing.T) {
+	t.Parallel()
+	f := newRetryFleet(10, 12)
+	f.startAll()
+	f.play(20 * time.Second)
+	for range 3 {
+		f.split(4, true)
+		f.play(20 * time.Second)
+		f.split(4, false)
+		f.play(10 * time.Second)
+	}
+	f.check(t)
+}
+
+// Processes that replace others don't use the retry slack again that those have used, also
+// if all are killed a few times in one window.
+func TestRetriesOfRestartedFleet(t *testing.T) {
+	t.Parallel()
+	for _, pause := range []time.Duration{2 * time.Second, 9 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newRetryFleet(11, 36)
+			f.every = 10
+			f.startAll()
+			f.play(30 * time.Second)
+			for range 5 {
+				for i := range f.vms {
+					f.kill(i)
+				}
+				f.play(500 * time.Millisecond)
+				f.startAll()
+				f.play(pause)
+			}
+			f.play(time.Minute)
+			f.check(t)
+		})
+	}
+}
+
+// VMs that are added to a fleet have no retry slack beside that which the others have used.
+func TestRetriesOfGrowingFleet(t *testing.T) {
+	t.Parallel()
+	f := newRetryFleet(12, 36)
+	f.every = 10
+	for i := range f.vms {
+		if i%12 == 0 {
+			f.start(i)
+		}
+	}
+	f.play(30 * time.Second)
+	for i := range f.vms {
+		if i%12 != 0 {
+			f.start(i)
+			f.play(time.Second)
+		}
+	}
+	f.play(30 * time.Second)
+	f.check(t)
+}
+
+// Whatever order kills, restarts, suspensions, lost messages and partitions come in, the
+// retries of all VMs keep the bound.
+func TestRetriesOfFleetInTrouble(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			f := newRetryFleet(seed, 36)
+			f.every = 1 + int(seed)*2
+			f.startAll()
+			f.play(20 * time.Second)
+			for range 60 {
+				switch i := f.random.IntN(len(f.vms)); f.random.IntN(6) {
+				case 0:
+					f.kill(i)
+				case 1:
+					for i := range f.vms {
+						if !f.vms[i].alive || f.random.IntN(2) == 0 {
+							f.kill(i)
+							f.start(i)
+						}
+					}
+				case 2:
+					if f.vms[i].alive {
+						f.suspend(i, time.Duration(f.random.IntN(8000))*time.Millisecond)
+					}
+				case 3:
+					f.loss = 0.3 * f.random.Float64()
+				case 4:
+					f.split(1+f.random.IntN(len(f.vms)-1), true)
+					f.play(time.Duration(f.random.IntN(15)) * time.Second)
+					f.isBlocked = map[[2]int]bool{}
+				}
+				f.play(time.Duration(f.random.IntN(3000)) * time.Millisecond)
+			}
+			f.check(t)
+		})
+	}
+}
--- a/node/retry.go
+++ b/node/retry.go
@@ -8,5 +8,12 @@
 // setRetryBounds bounds the retries of this VM by its part of the operators' bound.
 func (n *Node) setRetryBounds(division lead.Division) {
 	bounds := n.state.bounds.Load()
-	n.budgets.SetBounds(retry.FleetBounds{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, VMs: division.Divisor})
+	hadSlack := n.budgets.HasSlack()
+	n.budgets.SetBounds(retry.FleetBounds{
+		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
+		VMs: division.Divisor, IsIsolated: division.IsIsolated, Age: division.Age,
+	})
+	if !hadSlack && n.budgets.HasSlack() {
+		n.log.Info("retry slack in use", "fleet", bounds.RetrySlack, "among", division.Divisor, "known", division.IsKnown, "age", division.Age)
+	}
 }
--- a/relay/claim_test.go
+++ b/relay/claim_test.go
@@ -436,7 +436,7 @@
 		targets = append(targets, startTarget(t, id, faulty.serve))
 	}
 	h := newHarness(t, targets...)
-	h.budgets.SetBounds(retry.FleetBounds{Ratio: 1, Slack: 1000, VMs: 1})
+	h.budgets.SetBounds(retry.FleetBounds{Ratio: 1, Slack: 1000, VMs: 1, Age: time.Minute})
 	type sent struct {
 		body     string
 		isUnsafe bool
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -250,7 +250,7 @@
 func newLoggedHarness(t testing.TB, handler slog.Handler, targets ...*testTargetServer) *harness {
 	t.Helper()
 	h := &harness{targets: targets, budgets: &retry.FleetBudgets{}, guard: &testGuard{}, pool: &Pool{}}
-	h.budgets.SetBounds(retry.FleetBounds{Ratio: 1, Slack: 100, VMs: 1})
+	h.budgets.SetBounds(retry.FleetBounds{Ratio: 1, Slack: 100, VMs: 1, Age: time.Minute})
 	h.chooser = place.NewChooser("here", ferry.Regions{"here": "region", "near": "region", "far": "other"})
 	list := make([]ferry.Target, 0, len(targets))
 	for _, target := range targets {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -131,7 +131,7 @@
 	healthy := startTarget(t, "sound", respondOK)
 	healthy.target.Place = "far"
 	h := newHarness(t, gone, healthy)
-	h.budgets.SetBounds(retry.FleetBounds{VMs: 1000})
+	h.budgets.SetBounds(retry.FleetBounds{VMs: 1000, Age: time.Minute})
 	for range 3 {
 		got := h.call(t.Context(), http.MethodPost, "/unsafe/x", "b")
 		is.NoErr(got.err)
@@ -158,7 +158,7 @@
 	t.Parallel()
 	is := is.New(t)
 	h := newHarness(t, startTarget(t, "a", closeWithoutResponse), startTarget(t, "b", closeWithoutResponse), startTarget(t, "c", closeWithoutResponse))
-	h.budgets.SetBounds(retry.FleetBounds{VMs: 1})
+	h.budgets.SetBounds(retry.FleetBounds{VMs: 1, Age: time.Minute})
 	for range 10 {
 		got := h.call(t.Context(), http.MethodGet, "/safe/x", "")
 		is.NoErr(got.err)
--- a/retry/fleet.go
+++ b/retry/fleet.go
@@ -19,6 +19,8 @@
 	// resends, and less urgent ranks for more urgent ones, while these are wanted.
 	hedgeReserve = 0.5
 	rankReserve  = 0.25
+	// joinTime is the time in which all VMs learn of a new one and divide by one more.
+	joinTime = 3 * time.Second
 )
 
 // Resend describes a retry for which a token is wanted.
@@ -35,14 +37,23 @@
 // attempt adds a fraction of a token, and each VM gets an equal part of the
 // fleet's slack. The zero FleetBudgets allow no retries; call SetBounds.
 //
+// The part of a new process is withheld until the window of the bound has passed: others
+// may have used it, such as the process that this one replaces, or VMs that divided by one
+// less. So is that of a VM that has met none of the others. Meanwhile it retries on the
+// tokens of its first attempts, which need no division.
+//
 // The last tokens go to the retries of most worth. While requests without another
 // chance want retries, hedges leave a part of the budget to them; while a more urgent
 // rank wants some, so do less urgent ranks. Without such a want every retry is equal.
 type FleetBudgets struct {
 	mu               sync.Mutex
 	tokensPerRequest float64
-	maxTokens        float64
-	services         map[ferry.ServiceID]*serviceBudget
+	// slack is this VM's part of the fleet's slack, in tokens. Budgets have got it if hasSlack
+	// is set.
+	slack     float64
+	hasSlack  bool
+	maxTokens float64
+	services  map[ferry.ServiceID]*serviceBudget
 }
 
 // serviceBudget is the budget of one service.
@@ -57,18 +68,45 @@
 type FleetBounds struct {
 	// Ratio is the number of retries per first attempt.
 	Ratio float64
-	// Slack is the number of retries beyond that.
-	Slack float64
+	// Slack is the number of retries beyond that, in any Window.
+	Slack  float64
+	Window time.Duration
 	// VMs is the number of VMs among which the slack is divided. Values below 1 count as 1.
 	VMs int
+	// IsIsolated reports that this VM has met none of the others.
+	IsIsolated bool
+	// Age is the time since the start of this process.
+	Age time.Duration
 }
 
-// SetBounds sets the bounds.
+// maySpendSlack reports whether nobody else can still use this VM's part of the slack.
+func (b FleetBounds) maySpendSlack() bool { return !b.IsIsolated && b.Age >= b.Window+joinTime }
+
+// SetBounds sets the bounds. Budgets never hold more tokens than the slack of their VM.
 func (b *FleetBudgets) SetBounds(bounds FleetBounds) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.tokensPerRequest = bounds.Ratio * budgetShare
-	b.maxTokens = max(1, bounds.Slack*budgetShare/float64(max(1, bounds.VMs)))
+	b.slack = bounds.Slack * budgetShare / float64(max(1, bounds.VMs))
+	b.maxTokens = max(1, b.slack)
+	if bounds.IsIsolated {
+		b.maxTokens = 1
+	}
+	isDue := !b.hasSlack && bounds.maySpendSlack()
+	b.hasSlack = b.hasSlack || isDue
+	for _, budget := range b.services {
+		if isDue {
+			budget.tokens += b.slack
+		}
+		budget.tokens = min(b.maxTokens, budget.tokens)
+	}
+}
+
+// HasSlack reports whether the budgets of this VM hold its part of the fleet's slack.
+func (b *FleetBudgets) HasSlack() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasSlack
 }
 
 // Deposit adds the tokens of a first attempt.
@@ -80,7 +118,10 @@
 	}
 	budget := b.services[service]
 	if budget == nil {
-		budget = &serviceBudget{tokens: b.maxTokens}
+		budget = &serviceBudget{}
+		if b.hasSlack {
+			budget.tokens = b.maxTokens
+		}
 		b.services[service] = budget
 	}
 	budget.tokens = min(b.maxTokens, budget.tokens+b.tokensPerRequest)
--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -12,7 +13,7 @@
 	t.Parallel()
 	is := is.New(t)
 	var budgets FleetBudgets
-	budgets.SetBounds(FleetBounds{Ratio: 0.2, Slack: 4 / budgetShare, VMs: 1})
+	budgets.SetBounds(FleetBounds{Ratio: 0.2, Slack: 4 / budgetShare, VMs: 1, Age: time.Minute})
 	budgets.Deposit("s")
 	is.True(budgets.TryWithdraw(0, "s", Resend{Rank: 2, IsHedge: true}))
 	is.True(budgets.TryWithdraw(0, "s", Resend{Rank: 1}))
