lead: VMs that never met grant the credits of cold targets once among them

What operators would see: cold targets get several times the rate that they can take, where VMs of a place start for the first time and none finds another.

The rate of a place was divided by the VMs that its leader has seen, or by an assumed place only for a process that isn't of a first start, and only for a minute; a VM that has met nobody leads a place of one.

Evidence: in TestColdRateOfVMsThatNeverMet five VMs of a place granted 5.0 of its rate after 5 s, 20 s and 2 min.

Change: the place is assumed as long as the VM doesn't know the size of the fleet, by the same answer as the allowances. Result: the test passes, and those of lead, place and node.

--- a/lead/cold.go
+++ b/lead/cold.go
@@ -174,19 +174,18 @@
 
 // assumedPlaceSize returns the number of VMs by which the rate of the place is divided:
 // the largest of the last fleetSizeWindow. A process that started since may never have
-// seen the others. To it, all VMs that it misses are of its place and, until it knows the
-// size of the fleet, its place is an average one at least.
+// seen the others. To it, all VMs that it misses are of its place. A VM that does not know
+// the size of the fleet assumes an average place at least.
 func (c *Controller) assumedPlaceSize(now ferry.Moment) int {
 	size := max(1, c.usage.credits.largestPlace)
-	if now.Monotonic-c.started > fleetSizeKnownAfter {
-		return size
+	if now.Monotonic-c.started <= fleetSizeKnownAfter {
+		size = max(size, c.placeSize()+c.FleetSize()-len(c.view))
 	}
-	size = max(size, c.placeSize()+c.FleetSize()-len(c.view))
-	if c.isFleetSizeKnown {
+	if c.knowsFleetSize(now.Monotonic) {
 		return size
 	}
 	places := max(1, len(c.options.Regions))
-	return max(size, (assumedFleetSize+places-1)/places)
+	return max(size, (c.assumedSize()+places-1)/places)
 }
 
 // replyCredits returns the credits for a follower whose heartbeat arrived just now: only
--- a/lead/cold_test.go
+++ b/lead/cold_test.go
@@ -192,6 +192,32 @@
 	})
 }
 
+// VMs of a place that never met, since their seeds are down, grant credits for no more
+// than the whole of it.
+func TestColdRateOfVMsThatNeverMet(t *testing.T) {
+	t.Parallel()
+	const vms = 5
+	f := &coldFleet{simulation: newSimulation(13, vms)}
+	f.places = 1
+	for i := range vms {
+		f.setPartition(i, true, true, true)
+	}
+	f.startAll()
+	granted := 0.0
+	for _, at := range []time.Duration{5 * time.Second, 20 * time.Second, 2 * time.Minute} {
+		f.run(at, nil)
+		if err := f.checkFractions(); err != nil {
+			t.Error(err)
+		}
+		for _, vm := range f.vms {
+			granted += vm.controller.placeFraction(f.moment(vm))
+		}
+	}
+	if granted == 0 {
+		t.Error("nothing was granted")
+	}
+}
+
 // applyFault applies a random fault to a VM.
 func (f *coldFleet) applyFault(t *rapid.T, i int) {
 	switch rapid.IntRange(0, 7).Draw(t, "fault") {
