relay: a HEAD whose response states a length is answered

What callers saw: 502 for every HEAD whose response has a Content-Length other than 0, and a made-up Content-Length of 0 for others; each took a new connection to its target.

Cause: the relay read as many bytes as the header states; package http reads no body for HEAD, so that the read ended at once and counted as cut.

TestResponseWithoutBodyIsDelivered failed in four of eight cases.

Change: a response that ends with its header (HEAD, 204, 304) is accepted without a body; the caller gets the target's length, and the connection is kept. Result: the test passes.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -52,6 +52,9 @@
 	status   int
 	header   http.Header
 	metadata ferry.ResponseMetadata
+	// isBodyless reports that a response of its status, or to its method, has no body,
+	// whatever length its header states.
+	isBodyless bool
 	// buffered is the beginning of the body; rest reads the remainder or is nil.
 	buffered []byte
 	rest     io.Reader
@@ -433,11 +436,20 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
+// isBodyless reports whether a response ends with its header, following RFC 9112 section 6.3.
+func isBodyless(response *http.Response) bool {
+	switch response.StatusCode {
+	case http.StatusNoContent, http.StatusNotModified:
+		return true
+	}
+	return response.Request.Method == http.MethodHead
+}
+
 // acceptResponse reads the beginning of the body and sets a.response.
 func (f *Forwarder) acceptResponse(response *http.Response, metadata ferry.ResponseMetadata, hold *flight.Hold, connection *conn, a *attempt) {
-	body, isUsable := response.Body, isUsable(response.StatusCode, metadata)
-	if !isUsable {
-		// The caller does not get it, so its body is not read either.
+	body, isUsable, isBodyless := response.Body, isUsable(response.StatusCode, metadata), isBodyless(response)
+	if !isUsable || isBodyless {
+		// The caller does not get a body that isn't usable, so it is not read either.
 		body, response.ContentLength = http.NoBody, 0
 	}
 	buffered, rest, err := bufferBody(body, response.ContentLength, hold)
@@ -459,7 +471,7 @@
 	isReusable := isUsable && !response.Close && !isUnframed(response) && !metadata.Leaving && metadata.ID != "" && !connection.isWornOut()
 	pick := a.pick
 	a.response = &targetResponse{
-		status: response.StatusCode, header: response.Header, metadata: metadata, buffered: buffered, rest: rest,
+		status: response.StatusCode, header: response.Header, metadata: metadata, isBodyless: isBodyless, buffered: buffered, rest: rest,
 		release: func(isComplete bool) {
 			if isComplete && isReusable && connection.reader.Buffered() == 0 && connection.SetReadDeadline(time.Time{}) == nil {
 				f.pool.put(monotonicTime(f.clock), pick.Target, connection)
--- a/relay/response.go
+++ b/relay/response.go
@@ -37,7 +37,14 @@
 		}
 	}
 	suppressDefaults(header, "Date", "Content-Type")
-	if a.response.rest == nil {
+	switch {
+	case status == http.StatusNoContent:
+	case a.response.isBodyless:
+		// The length of the body that another request would get.
+		if length, found := a.response.header["Content-Length"]; found {
+			header["Content-Length"] = length
+		}
+	case a.response.rest == nil:
 		header["Content-Length"] = []string{strconv.Itoa(len(a.response.buffered))}
 	}
 	if err := r.body.beginResponse(writer); err != nil {
