relay, proxy: a response that is cut is reset for callers of HTTP/1.0

What callers saw: a caller of HTTP/1.0 gets a part of a long response, or of one whose length the VM doesn't know, as a whole 200. A target that stops in the middle of its body is enough.

Cause: a response to HTTP/1.0 has no chunks; its end is the end of the connection, and package http closes the connection of a handler that gives up.

--- a/drain/bounds.go
+++ b/drain/bounds.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"time"
@@ -112,6 +113,19 @@
 	}
 }
 
+// MarkCut is called before http.ErrAbortHandler ends a response that isn't whole. Package
+// http then closes the connection without the last chunk. The body of a response to
+// HTTP/1.0 ends with its connection, which is therefore reset.
+func MarkCut(request *http.Request) {
+	c, ok := request.Context().Value(connectionKey{}).(*connection)
+	if !ok || request.ProtoAtLeast(1, 1) {
+		return
+	}
+	// A connection that can't be reset has ended.
+	_ = c.SetLinger(0)
+	_ = c.TCPConn.Close()
+}
+
 func addressOf(conn net.Conn) netip.Addr {
 	if address, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
 		return address.AddrPort().Addr()
--- a/proxy/reset_test.go
+++ b/proxy/reset_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -44,3 +45,18 @@
 		})
 	}
 }
+
+// A caller of HTTP/1.0 does not take a response that was cut for a whole one: it has no
+// last chunk, so its connection is reset.
+func TestCutResponseIsNotWholeForHTTP10(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture(t, []string{"HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n10\nonly the"})
+	conn, err := net.Dial("tcp4", f.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /prices HTTP/1.0\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	_, err = io.ReadAll(conn)
+	is.True(err != nil)
+}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -28,6 +28,7 @@
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/auth"
 	"monsoonferry.org/ferry/conf"
+	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/retry"
 )
 
@@ -242,6 +243,8 @@
 		defer f.handling.Done()
 		server.ServeHTTP(writer, request)
 	}))
+	listener := drain.NewListener(f.server.Listener.(*net.TCPListener))
+	f.server.Listener, f.server.Config.ConnState, f.server.Config.ConnContext = listener, listener.SetState, listener.Context
 	f.server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)
 	f.server.Start()
 	t.Cleanup(f.server.Close)
