relay: a hedge that a planned stop prevents is no refusal of its request

What operators saw: `request while stopping ... decision=Refused` and one more in ferry_stop_decisions_total for a request that went on and got its response.

Cause: the stop is asked twice before a hedge, when it is decided and when it is sent. Where the grace period passes its limit between the two, the second took the hedge for the request.

Evidence: TestLateHedgeIsNoRefusal, whose clock passes the limit in that moment, failed. Change: a hedge is checked without a line. Result: the test passes.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -244,6 +244,10 @@
 		return f.refuse(r, http.StatusServiceUnavailable, ferry.ReasonNotReady, staleRetryAfter, "the configuration may be old")
 	}
 	moment := f.clock.Now()
+	if r.inFlight > 0 && !f.admits(moment, r.exchange) {
+		// The request goes on without a hedge.
+		return drain.Refusal()
+	}
 	if err := f.checkGrace(ctx, moment, r.exchange); err != nil {
 		return err
 	}
@@ -368,7 +372,7 @@
 	if len(r.checkpoints) > 0 {
 		timer.Reset(r.checkpoints[0].after - reached.after)
 	}
-	if r.isIdempotent && f.admits(r.exchange) && f.takeRetry(r) {
+	if r.isIdempotent && f.admits(f.clock.Now(), r.exchange) && f.takeRetry(r) {
 		checkpoints, latest := r.checkpoints, r.latest
 		if err := f.startAttempt(ctx, r, timer); err != nil {
 			// The attempt in progress goes on.
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -16,10 +16,11 @@
 
 // Filter implements ferry.Filter.
 func (f StopFilter) Filter(ctx context.Context, exchange *ferry.Exchange, next ferry.Handler) error {
-	drain.RequestOf(ctx).SetDemand(f.Forwarder.demand(exchange))
 	if err := f.Forwarder.checkGrace(ctx, f.Forwarder.clock.Now(), exchange); err != nil {
 		return err
 	}
+	// Until here the stop ends the request only at the end of the grace period.
+	drain.RequestOf(ctx).SetDemand(f.Forwarder.demand(exchange))
 	return next.Handle(ctx, exchange)
 }
 
@@ -39,12 +40,8 @@
 }
 
 // admits reports whether a planned stop lets a request be sent now.
-func (f *Forwarder) admits(exchange *ferry.Exchange) bool {
-	if !f.grace.IsStopping() {
-		return true
-	}
-	now := f.clock.Now()
-	return f.grace.Admits(now, f.demand(exchange).At(now))
+func (f *Forwarder) admits(now ferry.Moment, exchange *ferry.Exchange) bool {
+	return !f.grace.IsStopping() || f.grace.Admits(now, f.demand(exchange).At(now))
 }
 
 // refuseStopping ends a request that a planned stop has ended.
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -511,3 +511,55 @@
 	is.True(h.call(t.Context(), http.MethodPost, "/unsafe/x", "b").err != nil)
 	is.Equal(len(log.linesWith("handler panicked", "request=id-/unsafe/x", "value=broken")), 1)
 }
+
+// offsetClock is a clock that a test sets ahead.
+type offsetClock struct {
+	ferry.Clock
+	offset atomic.Int64
+}
+
+// Now implements ferry.Clock.
+func (c *offsetClock) Now() ferry.Moment { return c.Clock.Now().Add(time.Duration(c.offset.Load())) }
+
+// hookGuard calls hook before each attempt.
+type hookGuard struct {
+	Guard
+	hook func()
+}
+
+// MayRun implements Guard.
+func (g hookGuard) MayRun(exchange *ferry.Exchange) bool {
+	g.hook()
+	return g.Guard.MayRun(exchange)
+}
+
+// A request whose hedge is too late, as the grace period ends between the decision to send
+// it and the sending, goes on: no line and no count says that it was refused.
+func TestLateHedgeIsNoRefusal(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	log := &lockedBuffer{}
+	slow := startTarget(t, "a", func(conn net.Conn, request *http.Request, body []byte) {
+		time.Sleep(150 * time.Millisecond)
+		respondOK(conn, request, body)
+	})
+	h := newLoggedHarness(t, slog.NewTextHandler(log, nil), slow)
+	clock := &offsetClock{Clock: h.forwarder.clock}
+	h.forwarder.clock = clock
+	var attempts atomic.Int32
+	h.forwarder.guard = hookGuard{h.guard, func() {
+		if attempts.Add(1) == 2 {
+			left, _ := h.grace.Left(clock.Now())
+			clock.offset.Store(int64(left - 150*time.Millisecond))
+		}
+	}}
+	h.stop(t, 2*time.Second)
+	got := h.call(t.Context(), http.MethodPost, "/safe/x", "b")
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.True(attempts.Load() >= 2)
+	is.Equal(log.linesWith("request while stopping", "decision=Refused"), nil)
+	var metrics bytes.Buffer
+	h.metrics.WritePrometheus(&metrics)
+	is.True(!strings.Contains(metrics.String(), `decision="Refused"`))
+}
