drain: a planned stop decides once about a request

Cause: a refused request stays among the requests in progress until its response is written. EndOverdue, which runs every few milliseconds, found it waiting and overdue, and ended it too.

Change: the request remembers that it was refused, as it does that it was ended; and the stop knows its demand only after it has admitted it, so that the two can't compete.

--- a/drain/request.go
+++ b/drain/request.go
@@ -66,8 +66,9 @@
 	// demand is what the request needs of the rest of a grace period, nil until its route
 	// is known.
 	demand *Demand
-	// isEnded reports that a planned stop has called end.
-	isEnded bool
+	// isEnded reports that a planned stop has called end, isRefused that it has refused the
+	// request, which is about to end by itself. Either is decided once.
+	isEnded, isRefused bool
 }
 
 // Demand is what a request needs of the rest of a grace period.
@@ -150,13 +151,25 @@
 func (p *Request) tryEnd(grace *Grace, now ferry.Moment) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isEnded || !p.isOverdue(grace, now) {
+	if p.isEnded || p.isRefused || !p.isOverdue(grace, now) {
 		return false
 	}
 	p.isEnded = true
 	return true
 }
 
+// tryRefuse marks a request as refused. It reports false if a planned stop has refused or
+// ended it before.
+func (p *Request) tryRefuse() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isEnded || p.isRefused {
+		return false
+	}
+	p.isRefused = true
+	return true
+}
+
 // Result returns the result of a request that ended with err, if a planned stop has
 // ended it. Where it waited, what it waited for is not why it ends.
 func (p *Request) Result(ctx context.Context, err error) error {
@@ -207,13 +220,18 @@
 		append(append(p.attributes(now), slog.String("decision", string(decision)), slog.Duration("graceLeft", left)), more...)...)
 }
 
-// Check returns a refusal of a request that must not be sent any more, and logs it.
+// Check returns a refusal of a request that must not be sent any more, and logs it. The
+// request ends with it, or with what is known of an earlier attempt.
 func (l Log) Check(ctx context.Context, grace *Grace, now ferry.Moment, need Need) error {
+	p := RequestOf(ctx)
 	if grace.Admits(now, need) {
 		return nil
 	}
+	if !p.tryRefuse() {
+		return Refusal()
+	}
 	left, _ := grace.Left(now)
-	l.Write(ctx, Refused, left, RequestOf(ctx), now, slog.Duration("usual", need.Usual), slog.Duration("longest", need.Longest))
+	l.Write(ctx, Refused, left, p, now, slog.Duration("usual", need.Usual), slog.Duration("longest", need.Longest))
 	return Refusal()
 }
 
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -16,11 +16,12 @@
 // Filter implements ferry.Filter.
 func (f StopFilter) Filter(ctx context.Context, exchange *ferry.Exchange, next ferry.Handler) error {
 	demand := f.Forwarder.demand(exchange)
-	drain.RequestOf(ctx).SetDemand(demand)
 	now := f.Forwarder.config.Clock.Now()
 	if err := f.Forwarder.stopLog.Check(ctx, f.Forwarder.config.Grace, now, demand.At(now)); err != nil {
 		return err
 	}
+	// Until here the stop ends the request only at the end of the grace period.
+	drain.RequestOf(ctx).SetDemand(demand)
 	return next.Handle(ctx, exchange)
 }
 
