lead: the simulation doesn't step a suspended VM

Traced: the test told a VM that it had just suspended of a changed status, so that the VM ran with a monotonic clock that had gone back, which no real clock does.

The event is scheduled now, as all others are, and arrives when the VM resumes. The draws and the checks are the same.

--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -122,7 +122,8 @@
 			switch rapid.IntRange(0, 12).Draw(t, "fault") {
 			case 12:
 				if s.vms[i].alive {
-					s.step(i, StatusChanged{Ready: true, Leaving: rapid.Bool().Draw(t, "leaves")})
+					// A suspended VM learns of it when it resumes.
+					s.schedule(s.now, i, StatusChanged{Ready: true, Leaving: rapid.Bool().Draw(t, "leaves")})
 				}
 			case 0:
 				s.suspend(i, time.Duration(rapid.IntRange(100, 6000).Draw(t, "ms"))*time.Millisecond)
