platform, lead: the store may come back from an older copy

What callers would see: after such a drill of the store, whatever is written again or anew (a withdrawn key, a configuration, a new or leaving target) isn't in force until the store's revisions have passed those of before.

Cause: records, deltas, proofs and dictionaries are ordered by the store's revision alone, which goes back. Where the store has given a revision out again before it is asked, changes are missed.

Change: a ferry.Revision is the era (header Store-Era) and, within it, the store's revision; records hold it as one number, so that all comparisons stay as they are. A watch from an earlier era counts as compacted; a list has one era or is read again, three times at most; a value that can't be believed is logged and counts as the era known. A read of an earlier era proves nothing. A record of a later era that is older by what its writer states (a configuration's version, a target's start and sequence) doesn't undo what the VM knows, nor does it bring back a target that has left; what the copy lacks is deleted only after the time in which it is written again. VMs name dictionaries by their contents, as one revision may have two.

--- a/lead/controller.go
+++ b/lead/controller.go
@@ -270,9 +270,14 @@
 	return UnpackUpdate(packed, body)
 }
 
-// Revisions returns the revision of the records and of the configuration.
-func (c *Controller) Revisions() (records, config uint64) {
-	return c.records.Revision(), c.records.ConfigRevision()
+// Revisions returns the revision of the records and the dictionary ID of the configuration.
+func (c *Controller) Revisions() (records, dictionary uint64) {
+	return c.records.Revision(), c.records.DictionaryID()
+}
+
+// DeletionHold returns how much longer deletions that this VM reads are not final.
+func (c *Controller) DeletionHold(now ferry.Moment) time.Duration {
+	return max(0, c.read.holdUntil-now.Monotonic)
 }
 
 // Proof returns the moment at which the records were last proven to be current.
--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -197,7 +197,7 @@
 	c.sequence++
 	exchange := Exchange{
 		Sequence: c.sequence, Echo: l.receivedSequence, Incarnation: c.self.Incarnation, IsHeartbeat: isHeartbeat,
-		Revision: c.records.Revision(), ConfigRevision: c.records.ConfigRevision(),
+		Revision: c.records.Revision(), ConfigRevision: c.records.DictionaryID(),
 		FleetSize: c.fleetSizes.largest(), IsFleetSizeKnown: c.knowsFleetSize(now.Monotonic), ReadsStore: c.readsStore(now.Monotonic, to),
 	}
 	if l.selfAcked != c.self {
--- a/lead/read.go
+++ b/lead/read.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -194,10 +195,19 @@
 // finishRead applies the result of a call to the store.
 func (c *Controller) finishRead(now ferry.Moment, ended ReadEnded) {
 	c.read.inFlight = false
+	era, known := ferry.Revision(ended.Listing.Revision).Era(), ferry.Revision(c.records.Revision()).Era()
+	if ended.Err == nil && era < known {
+		// It proves nothing about the present state.
+		ended.Err = &ferry.StoreError{Fault: ferry.StoreMalformed, Detail: fmt.Sprintf("the response is of era %d, known is %d", era, known)}
+	}
 	if ended.Err != nil {
 		c.failRead(now, ended)
 		return
 	}
+	if era > known && c.records.Revision() > 0 {
+		// What the store lacks since it came back from a copy is written again.
+		c.read.holdUntil = now.Monotonic + deletionHold
+	}
 	if c.hasProof && now.LongestSince(c.proof) > c.outageAfter() {
 		c.read.holdUntil = now.Monotonic + deletionHold
 	}
@@ -211,7 +221,8 @@
 	if ended.Full {
 		update.After = 0
 	}
-	hold := max(0, c.read.holdUntil-now.Monotonic)
+	hold := c.DeletionHold(now)
+	update.Hold = hold
 	for _, record := range ended.Listing.Records {
 		update.Records = append(update.Records, UpdateRecord{Record: record, Hold: hold})
 	}
--- a/lead/records.go
+++ b/lead/records.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonferry.org/ferry"
 )
 
@@ -16,6 +18,8 @@
 	// maxDictionaries is the number of configurations that are kept as
 	// dictionaries.
 	maxDictionaries = 8
+	// dictionaryIDShift shortens the IDs of dictionaries to 32 bits.
+	dictionaryIDShift = 32
 )
 
 type recordEntry struct {
@@ -27,12 +31,16 @@
 	lastBody []byte
 }
 
-// dictionary is the body of a configuration that serves to compress updates.
+// dictionary is the body of a configuration that serves to compress updates. VMs name it
+// by its contents: after a change of the era, one revision may have two.
 type dictionary struct {
-	revision uint64
-	body     []byte
+	id   uint64
+	body []byte
 }
 
+// dictionaryID returns the ID of the dictionary with a body, which is not zero.
+func dictionaryID(body []byte) uint64 { return max(1, xxhash.Sum64(body)>>dictionaryIDShift) }
+
 // Records are the published records that this VM has. The zero Records are empty
 // and ready to use.
 type Records struct {
@@ -50,6 +58,9 @@
 	After    uint64
 	Revision uint64
 	Records  []UpdateRecord
+	// Hold is the time for which the deletion of records that are absent is not final. It
+	// is not sent.
+	Hold time.Duration
 }
 
 // UpdateRecord is a record and the time for which its deletion is not final.
@@ -61,18 +72,18 @@
 // Revision returns the revision up to which all changes are included.
 func (r *Records) Revision() uint64 { return r.revision }
 
-// ConfigRevision returns the revision of the last configuration, or zero.
-func (r *Records) ConfigRevision() uint64 {
+// DictionaryID returns the ID of the last configuration as a dictionary, or zero.
+func (r *Records) DictionaryID() uint64 {
 	if len(r.configs) == 0 {
 		return 0
 	}
-	return r.configs[len(r.configs)-1].revision
+	return r.configs[len(r.configs)-1].id
 }
 
-// dictionary returns the body of the configuration at revision, or nil.
-func (r *Records) dictionary(revision uint64) []byte {
+// dictionary returns the body of the configuration with an ID, or nil.
+func (r *Records) dictionary(id uint64) []byte {
 	for _, config := range r.configs {
-		if config.revision == revision {
+		if config.id == id {
 			return config.body
 		}
 	}
@@ -116,6 +127,12 @@
 		}
 		return false
 	}
+	if found && isOlderCopy(record.Record, stored, decoder) {
+		// What this VM knows is in force, as a record of the new era.
+		stored.Revision, stored.receivedAt = record.Revision, now
+		r.entries[record.Key] = stored
+		return false
+	}
 	entry := recordEntry{Record: record.Record, receivedAt: now, finalAt: finalAt}
 	if record.Deleted && found {
 		entry.lastBody = stored.Body
@@ -125,7 +142,7 @@
 	}
 	r.entries[record.Key] = entry
 	if !record.Deleted && decoder.IsInventory(record.Record) {
-		r.configs = append(r.configs, dictionary{revision: record.Revision, body: record.Body})
+		r.configs = append(r.configs, dictionary{id: dictionaryID(record.Body), body: record.Body})
 		if len(r.configs) > maxDictionaries {
 			r.configs = r.configs[1:]
 		}
@@ -133,10 +150,24 @@
 	return true
 }
 
+// isOlderCopy reports whether a record is of a later era of the store than the stored one
+// and says nothing newer: the store has come back from a copy of before.
+func isOlderCopy(record ferry.Record, stored recordEntry, decoder ferry.RecordDecoder) bool {
+	if record.Deleted || ferry.Revision(record.Revision).Era() == ferry.Revision(stored.Revision).Era() {
+		return false
+	}
+	known := stored.Record
+	if stored.Deleted {
+		known.Body = stored.lastBody
+	}
+	order := decoder.Compare(record, known)
+	return order < 0 || order == 0 && stored.Deleted && len(known.Body) > 0
+}
+
 // deleteAbsent marks the records that are missing in a full update as deleted.
 func (r *Records) deleteAbsent(now time.Duration, update Update, isPresent map[string]bool, decoder ferry.RecordDecoder) []ferry.Record {
 	var changed []ferry.Record
-	hold := time.Duration(0)
+	hold := update.Hold
 	for _, record := range update.Records {
 		hold = max(hold, record.Hold)
 	}
--- a/lead/simulation_test.go
+++ b/lead/simulation_test.go
@@ -15,6 +15,8 @@
 // testDecoder treats the record "config" as the configuration.
 type testDecoder struct{}
 
+func (testDecoder) Compare(ferry.Record, ferry.Record) int { return 1 }
+
 func (testDecoder) Evacuation(ferry.Record) (ferry.PlaceID, bool) { return "", false }
 
 func (testDecoder) IsInventory(record ferry.Record) bool { return record.Key == "config" }
--- a/node/freshness_test.go
+++ b/node/freshness_test.go
@@ -61,6 +61,8 @@
 	return ferry.Target{}, false, nil
 }
 
+func (*testDecoder) Compare(ferry.Record, ferry.Record) int { return 1 }
+
 func (*testDecoder) Evacuation(ferry.Record) (ferry.PlaceID, bool) { return "", false }
 
 // freshnessTest is a Node that reads configuration records, and two keys, the first of
--- a/node/loop.go
+++ b/node/loop.go
@@ -173,7 +173,7 @@
 	n.isStale = isStale
 	age, _ := n.state.proofAge()
 	records, _ := n.controller.Revisions()
-	n.log.Info("freshness", "stale", isStale, "age", age, "revision", records)
+	n.log.Info("freshness", "stale", isStale, "age", age, "revision", ferry.Revision(records))
 }
 
 func (n *Node) isListed(id ferry.TargetID, incarnation int64) bool {
@@ -217,6 +217,34 @@
 	}
 	n.publishProof()
 	n.publishTokenServer()
+	n.logEra(event)
+}
+
+// logOddEra counts an era that the store stated and that was not believed, and logs it if it
+// differs from the last one.
+func (n *Node) logOddEra(odd string) {
+	if odd == "" {
+		return
+	}
+	n.metrics.GetOrCreateCounter("ferry_store_odd_eras_total").Inc()
+	if last := n.oddEra.Swap(&odd); last == nil || *last != odd {
+		n.log.Warn("era of the store not believed", "stated", odd)
+	}
+}
+
+// logEra logs that the records are of a later era of the store: it has come back from an
+// older copy. Only the loop calls it.
+func (n *Node) logEra(event lead.Event) {
+	records, _ := n.controller.Revisions()
+	before, now := ferry.Revision(n.eraRevision), ferry.Revision(records)
+	n.eraRevision = records
+	if now.Era() == before.Era() || before == 0 {
+		return
+	}
+	read, isRead := event.(lead.ReadEnded)
+	n.metrics.GetOrCreateCounter("ferry_store_eras_total").Inc()
+	n.log.Warn("store came back from an older copy", "era", now.Era(), "before", before.Era(), "revision", now, "revisionBefore", before,
+		"fromStore", isRead, "listed", len(read.Listing.Records), "deletionsHeldFor", n.controller.DeletionHold(n.clock.Now()))
 }
 
 // publishProof publishes the proof of freshness. Its records have to be in force: with
@@ -285,7 +313,7 @@
 	n.tickCold()
 	n.controller.SetTargets(now, outsideEvacuated(targets, decoded.evacuated))
 	records, _ := n.controller.Revisions()
-	n.log.Info("records", "revision", records, "targets", len(targets))
+	n.log.Info("records", "revision", ferry.Revision(records), "targets", len(targets))
 }
 
 // applyEvacuations puts the operators' requests to evacuate places in force.
@@ -304,7 +332,7 @@
 			n.chooser.AssumeCold(now.Monotonic, change.Place)
 		}
 		n.metrics.GetOrCreateCounter(fmt.Sprintf(`ferry_evacuations_total{state=%q}`, state)).Inc()
-		n.log.Info("evacuation", "place", change.Place, "state", state, "revision", records, "evacuated", places, "proven", n.hasFormerProof,
+		n.log.Info("evacuation", "place", change.Place, "state", state, "revision", ferry.Revision(records), "evacuated", places, "proven", n.hasFormerProof,
 			"proofAge", proofAge, "known", now.Monotonic-change.Since, "completeIn", max(0, change.Until-now.Monotonic))
 	}
 }
@@ -390,11 +418,12 @@
 		result = fault.Fault.String()
 	}
 	n.metrics.GetOrCreateCounter(fmt.Sprintf(`ferry_store_calls_total{call=%q,result=%q}`, call, result)).Inc()
+	n.logOddEra(ended.Listing.OddEra)
 	switch {
 	case ended.Err != nil:
 		n.log.Info("store not read", "full", read.Full, "error", ended.Err)
 	case read.Full:
-		n.log.Info("store listed", "records", len(ended.Listing.Records), "revision", ended.Listing.Revision,
+		n.log.Info("store listed", "records", len(ended.Listing.Records), "revision", ferry.Revision(ended.Listing.Revision),
 			"took", n.clock.Now().Since(ended.Sent))
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,9 @@
 	bodies        *flight.Ledger
 	traffic       *traffic
 
+	// oddEra is the last era that the store stated and that was not believed, or nil.
+	oddEra atomic.Pointer[string]
+
 	// The loop owns the fields below.
 	controller    *lead.Controller
 	issuer        grant.Issuer
@@ -106,6 +109,8 @@
 	isStale        bool
 	viewSize       int
 	division       lead.Division
+	// eraRevision is the revision of the records when logEra last looked.
+	eraRevision uint64
 
 	// placeCaches holds the tokens for the VMs of the place that this VM leads.
 	placeCaches   map[ferry.AccountID]*grant.PlaceCache
--- a/node/report.go
+++ b/node/report.go
@@ -19,8 +19,11 @@
 	ID    ferry.VMID
 	Place ferry.PlaceID
 	// Version is the configuration in force, zero for none.
-	Version  uint64
+	Version uint64
+	// Revision is the store's revision of the records, and StoreEra the era in which it
+	// counts, zero if the store states none.
 	Revision uint64
+	StoreEra uint64
 	// Findings is the number of entries of that configuration that could not be used
 	// as they are. The log names them.
 	Findings int
@@ -148,7 +151,8 @@
 		InFlight: n.server.InFlight(), DroppedEvents: n.droppedEvents.Load(),
 		Budgets: n.budgetStatus(),
 	}
-	status.Revision, _ = n.controller.Revisions()
+	records, _ := n.controller.Revisions()
+	status.Revision, status.StoreEra = ferry.Revision(records).Number(), ferry.Revision(records).Era()
 	status.Rejected, status.RejectedReason = n.recordCache.rejected.revision, n.recordCache.rejected.reason
 	if snapshot := n.state.snapshot.Load(); snapshot != nil {
 		status.Version = snapshot.Version()
--- a/node/state.go
+++ b/node/state.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		c.rejections++
 		c.rejected = rejection{revision: record.Revision, reason: err.Error()}
-		c.log.Error("configuration record rejected", "revision", record.Revision, "error", relay.BoundedError(err))
+		c.log.Error("configuration record rejected", "revision", ferry.Revision(record.Revision), "error", relay.BoundedError(err))
 		return nil
 	}
 	c.rejected = rejection{}
@@ -205,7 +205,7 @@
 func (c *recordCache) target(record ferry.Record, wasUnusable bool) decodedTarget {
 	target, ok, err := c.decoder.Target(record)
 	if err != nil && !wasUnusable {
-		c.log.Warn("target record ignored", "key", record.Key, "revision", record.Revision, "error", relay.BoundedError(err))
+		c.log.Warn("target record ignored", "key", record.Key, "revision", ferry.Revision(record.Revision), "error", relay.BoundedError(err))
 	}
 	return decodedTarget{revision: record.Revision, target: target, isUsable: ok && err == nil}
 }
--- a/record.go
+++ b/record.go
@@ -7,7 +7,7 @@
 )
 
 // Record is one published value as the platform holds it. Revisions of all
-// records come from one counter that only increases.
+// records come from one counter that only increases, but for its eras (see Revision).
 type Record struct {
 	Key      string
 	Revision uint64
@@ -21,6 +21,8 @@
 	Records []Record
 	// Revision is the revision after which a watch continues without a gap.
 	Revision uint64
+	// OddEra is an era that the store stated and that was not believed, or empty.
+	OddEra string
 }
 
 // RecordStore gives read-only access to the published records. Its errors are
@@ -83,6 +85,10 @@
 	// Evacuation returns the place that a record asks to evacuate. ok is false for
 	// other records.
 	Evacuation(record Record) (place PlaceID, ok bool)
+	// Compare compares when the bodies of two records with the same key were written, by
+	// what their writer states in them: -1 if a is older, 0 if it is the same or can't be
+	// told, 1 if it is newer or its kind states nothing.
+	Compare(a, b Record) int
 }
 
 // RequestMetadata is the decoded header of a caller's request.
