lead: a deletion that is final stays final

What callers would see: requests to a target that has left, for up to 2.2 s, when its entry is removed once more while deletions are held, as after a drill of the store or an outage.

Cause: a deletion that comes with a hold replaced one that was final, and what is deleted but not final is in use.

TestFinalDeletionStaysFinal failed.

Change: of two deletions the earlier end of the hold counts.

--- a/lead/drill_test.go
+++ b/lead/drill_test.go
@@ -142,3 +142,23 @@
 		}
 	})
 }
+
+// A target that has left isn't back in use when its entry is removed once more, while
+// deletions are held after an outage or a drill.
+func TestFinalDeletionStaysFinal(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var records Records
+	put := func(now time.Duration, after, revision uint64, hold time.Duration, record ferry.Record) {
+		record.Key, record.Revision = "target", revision
+		_, ok := records.Merge(now, Update{After: after, Revision: revision, Records: []UpdateRecord{{Record: record, Hold: hold}}}, testDecoder{})
+		is.True(ok)
+	}
+	put(0, 0, 1, 0, ferry.Record{Body: []byte("ready")})
+	put(time.Second, 1, 2, 0, ferry.Record{Deleted: true})
+	live, _ := records.Live(2 * time.Second)
+	is.Equal(len(live), 0)
+	put(2*time.Second, 2, 3, deletionHold, ferry.Record{Deleted: true})
+	live, _ = records.Live(2*time.Second + deletionHold/2)
+	is.Equal(len(live), 0)
+}
--- a/lead/records.go
+++ b/lead/records.go
@@ -137,7 +137,8 @@
 	if record.Deleted && found {
 		entry.lastBody = stored.Body
 		if stored.Deleted {
-			entry.lastBody = stored.lastBody
+			// A deletion that is final stays so.
+			entry.lastBody, entry.finalAt = stored.lastBody, min(stored.finalAt, finalAt)
 		}
 	}
 	r.entries[record.Key] = entry
