drain: TestRequestThatCrossesIdleCloseIsNotRead waits until the connection is idle

Traced: the test counts the quiet time from the response, the listener from the moment at which package http reports the connection as idle, which is after the response has arrived. What it checks is the same.

--- a/drain/listener_test.go
+++ b/drain/listener_test.go
@@ -27,6 +27,8 @@
 	accepted, closed, handled sync.Map
 	isClosing                 atomic.Bool
 	served                    chan error
+	// idle counts the requests after which the listener knows that a connection waits.
+	idle atomic.Int64
 }
 
 func startServer(t *testing.T) *stoppingServer {
@@ -48,6 +50,9 @@
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.accepted.Store(c.RemoteAddr().String(), true)
 			s.listener.SetState(c, state)
+			if state == http.StateIdle {
+				s.idle.Add(1)
+			}
 			if state == http.StateClosed {
 				s.closed.Store(c.RemoteAddr().String(), true)
 			}
@@ -59,6 +64,17 @@
 	return s
 }
 
+// waitIdle waits until the listener knows that a connection waits for its next request: the
+// caller may have its response before.
+func (s *stoppingServer) waitIdle(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Second); s.idle.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no connection is idle")
+		}
+	}
+}
+
 // waitClosed waits until the server has reported the end of a caller's connection.
 func (s *stoppingServer) waitClosed(t *testing.T, caller net.Addr) {
 	t.Helper()
@@ -385,6 +401,7 @@
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	is.NoErr(err)
 	is.True(!response.Close)
+	s.waitIdle(t)
 	time.Sleep(quietTime)
 	is.Equal(s.listener.CloseQuiet(quietTime), 1)
 	s.waitClosed(t, conn.LocalAddr())
