lead, node: the epochs of the store by the field's name, with lines and counters for what they decide

Outside platform/ the word is epoch; what names the dictionary of compressed updates is called that in messages too. A lost response, and a response that came before its request was sent, are counted, the latter with an attribute of the attempt's line; this VM's part of the retry slack is a gauge.

--- a/conf/node.go
+++ b/conf/node.go
@@ -73,7 +73,8 @@
 	RetryRatio float64
 	// RetrySlack is the largest number of retries of the whole fleet beyond that
 	// ratio, in any RetryWindow.
-	RetrySlack  float64
+	RetrySlack float64
+	// RetryWindow is the time in which operators count retries and first attempts.
 	RetryWindow time.Duration
 	// Floor is the part of each service that stays in use even if its targets are
 	// unhealthy, from 0 to 1.
--- a/drain/bounds.go
+++ b/drain/bounds.go
@@ -113,10 +113,10 @@
 	}
 }
 
-// MarkCut is called before http.ErrAbortHandler ends a response that isn't whole. Package
-// http then closes the connection without the last chunk. The body of a response to
-// HTTP/1.0 ends with its connection, which is therefore reset.
-func MarkCut(request *http.Request) {
+// ResetUnframed is called before http.ErrAbortHandler ends a response that isn't whole.
+// Package http then closes the connection without the last chunk. The body of a response to
+// HTTP/1.0 has no chunks and ends with its connection, which is therefore reset.
+func ResetUnframed(request *http.Request) {
 	c, ok := request.Context().Value(connectionKey{}).(*connection)
 	if !ok || request.ProtoAtLeast(1, 1) {
 		return
--- a/fake/store.go
+++ b/fake/store.go
@@ -29,8 +29,8 @@
 	items    map[string]storedItem
 	// compacted is the revision up to which the history is discarded.
 	compacted uint64
-	// era is the number of times that the store came back from a copy, plus one.
-	era uint64
+	// epoch is the number of times that the store was restored from a copy, plus one.
+	epoch uint64
 	// faultStatus is the status code with which calls are refused, or 0 for none.
 	faultStatus int
 	// faultHosts are the caller hosts to which the fault applies; none means all.
@@ -45,8 +45,8 @@
 	ResetFault = -2
 )
 
-// EraHeader is the header field with the era of a Store.
-const EraHeader = "Store-Era"
+// epochHeader is the header field with the epoch of a Store.
+const epochHeader = "Store-Era"
 
 // hangTime is the time for which HangFault keeps a call.
 const hangTime = 3 * time.Second
@@ -62,7 +62,7 @@
 
 // NewStore returns a store without items.
 func NewStore() *Store {
-	s := &Store{changed: make(chan struct{}), items: map[string]storedItem{}, PageSize: storePage, revision: 3, era: 1, mux: http.NewServeMux()}
+	s := &Store{changed: make(chan struct{}), items: map[string]storedItem{}, PageSize: storePage, revision: 3, epoch: 1, mux: http.NewServeMux()}
 	s.mux.HandleFunc("GET /-/kv-key", s.serveKey)
 	s.mux.HandleFunc("GET /-/kv-range", s.serveRange)
 	s.mux.HandleFunc("GET /-/kv-watch", s.serveWatch)
@@ -71,17 +71,17 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.setEra(w)
+	s.setEpoch(w)
 	if !s.injectFault(w, r) {
 		s.mux.ServeHTTP(w, r)
 	}
 }
 
-// setEra states the present era in the header of a response.
-func (s *Store) setEra(w http.ResponseWriter) {
+// setEpoch states the present epoch in the header of a response.
+func (s *Store) setEpoch(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w.Header().Set(EraHeader, strconv.FormatUint(s.era, 10))
+	w.Header().Set(epochHeader, strconv.FormatUint(s.epoch, 10))
 }
 
 // StoreCopy is a copy of the items of a Store.
@@ -97,13 +97,13 @@
 	return StoreCopy{items: maps.Clone(s.items), revision: s.revision}
 }
 
-// Restore replaces the items by those of a copy and begins a new era. Revisions go back to
+// Restore replaces the items by those of a copy and begins a new epoch. Revisions go back to
 // that of the copy, and calls for the changes after a later one get 410.
 func (s *Store) Restore(copied StoreCopy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.items, s.revision, s.compacted = maps.Clone(copied.items), copied.revision, min(s.compacted, copied.revision)
-	s.era++
+	s.epoch++
 	s.notifyWatchers()
 }
 
@@ -247,7 +247,7 @@
 		isCompacted := after < s.compacted || after > s.revision
 		events, asOf, changed := s.eventsAfter(r.URL.Query().Get("prefix"), after), s.revision, s.changed
 		s.mu.Unlock()
-		s.setEra(w)
+		s.setEpoch(w)
 		if isCompacted {
 			w.WriteHeader(http.StatusGone)
 			return
--- a/lead/codec.go
+++ b/lead/codec.go
@@ -43,8 +43,8 @@
 func EncodeExchange(exchange Exchange) ([]byte, error) {
 	message := &leadpb.Exchange{
 		Sequence: exchange.Sequence, Echo: exchange.Echo, Incarnation: exchange.Incarnation, Beat: exchange.IsHeartbeat,
-		Revision: exchange.Revision, ConfigRevision: exchange.ConfigRevision,
-		After: exchange.After, Delta: exchange.Delta, DeltaConfig: exchange.DeltaConfig, Bulk: exchange.Bulk,
+		Revision: exchange.Revision, DictionaryID: exchange.DictionaryID,
+		After: exchange.After, Delta: exchange.Delta, DeltaDictionary: exchange.DeltaDictionary, Bulk: exchange.Bulk,
 		ListVersion: exchange.List.Version, ListAfter: exchange.List.After, ListPartial: exchange.List.IsPartial,
 		ListHas: exchange.AckedListVersion, FleetSize: uint32(exchange.FleetSize), IsSettled: exchange.IsFleetSizeKnown,
 		Lent: uint32(exchange.LeasedShare * leasedShareScale), LendTerm: uint32(exchange.LeaseTerm.Milliseconds()), Returns: exchange.IsReleased,
@@ -88,8 +88,8 @@
 	var err error
 	exchange := Exchange{
 		Sequence: message.GetSequence(), Echo: message.GetEcho(), Incarnation: message.GetIncarnation(), IsHeartbeat: message.GetBeat(),
-		Revision: message.GetRevision(), ConfigRevision: message.GetConfigRevision(),
-		After: message.GetAfter(), Delta: message.GetDelta(), DeltaConfig: message.GetDeltaConfig(), Bulk: message.GetBulk(),
+		Revision: message.GetRevision(), DictionaryID: message.GetDictionaryID(),
+		After: message.GetAfter(), Delta: message.GetDelta(), DeltaDictionary: message.GetDeltaDictionary(), Bulk: message.GetBulk(),
 		List:             ListChange{Version: message.GetListVersion(), After: message.GetListAfter(), IsPartial: message.GetListPartial()},
 		AckedListVersion: message.GetListHas(), FleetSize: int(message.GetFleetSize()), IsFleetSizeKnown: message.GetIsSettled(), ReadsStore: message.GetReads(),
 		LeasedShare: float64(message.GetLent()) / leasedShareScale, LeaseTerm: time.Duration(message.GetLendTerm()) * time.Millisecond, IsReleased: message.GetReturns(),
--- a/lead/controller.go
+++ b/lead/controller.go
@@ -256,8 +256,8 @@
 
 // PackSince returns the records after a revision for a copy over TCP, compressed
 // with the receiver's configuration if it is present here.
-func (c *Controller) PackSince(now ferry.Moment, after, configRevision uint64) (packed []byte, dictionary uint64, err error) {
-	return c.packs.pack(now.Monotonic, &c.records, after, configRevision)
+func (c *Controller) PackSince(now ferry.Moment, after, dictionaryID uint64) (packed []byte, dictionary uint64, err error) {
+	return c.packs.pack(now.Monotonic, &c.records, after, dictionaryID)
 }
 
 // UnpackUpdate reverses PackSince. It returns an error if this VM no longer has the
@@ -265,7 +265,7 @@
 func (c *Controller) UnpackUpdate(packed []byte, dictionary uint64) (Update, error) {
 	body := c.records.dictionary(dictionary)
 	if body == nil && dictionary != 0 {
-		return Update{}, trace.NotFound("no configuration of revision %d to decompress records", dictionary)
+		return Update{}, trace.NotFound("no dictionary %d to decompress records", dictionary)
 	}
 	return UnpackUpdate(packed, body)
 }
@@ -280,6 +280,13 @@
 	return max(0, c.read.holdUntil-now.Monotonic)
 }
 
+// KeptRecords returns the number of records that an older copy of the store did not replace.
+func (c *Controller) KeptRecords() uint64 { return c.records.kept }
+
+// OutdatedReads returns the number of responses of an earlier epoch of the store that were
+// rejected.
+func (c *Controller) OutdatedReads() uint64 { return c.read.outdated }
+
 // Proof returns the moment at which the records were last proven to be current.
 func (c *Controller) Proof() (ferry.Moment, bool) { return c.proof, c.hasProof }
 
--- a/lead/exchange.go
+++ b/lead/exchange.go
@@ -46,7 +46,7 @@
 		c.isViewDirty = c.isViewDirty || l.vm != exchange.Self
 		l.vm = exchange.Self
 	}
-	l.revision, l.configRevision = exchange.Revision, exchange.ConfigRevision
+	l.revision, l.dictionaryID = exchange.Revision, exchange.DictionaryID
 	l.fleetSize = exchange.FleetSize
 	c.lastSeen[from] = now.Monotonic
 	c.applyRecords(now, l, exchange)
@@ -70,7 +70,7 @@
 		return
 	}
 	if len(exchange.Delta) > 0 {
-		update, err := c.UnpackUpdate(exchange.Delta, exchange.DeltaConfig)
+		update, err := c.UnpackUpdate(exchange.Delta, exchange.DeltaDictionary)
 		if err == nil && c.merge(now, update) {
 			return
 		}
@@ -197,7 +197,7 @@
 	c.sequence++
 	exchange := Exchange{
 		Sequence: c.sequence, Echo: l.receivedSequence, Incarnation: c.self.Incarnation, IsHeartbeat: isHeartbeat,
-		Revision: c.records.Revision(), ConfigRevision: c.records.DictionaryID(),
+		Revision: c.records.Revision(), DictionaryID: c.records.DictionaryID(),
 		FleetSize: c.fleetSizes.largest(), IsFleetSizeKnown: c.knowsFleetSize(now.Monotonic), ReadsStore: c.readsStore(now.Monotonic, to),
 	}
 	if l.selfAcked != c.self {
@@ -226,12 +226,12 @@
 
 // addDelta adds the records that the receiver lacks, or requests a copy.
 func (c *Controller) addDelta(now ferry.Moment, l *link, exchange *Exchange) {
-	packed, dictionary, err := c.packs.pack(now.Monotonic, &c.records, l.revision, l.configRevision)
+	packed, dictionary, err := c.packs.pack(now.Monotonic, &c.records, l.revision, l.dictionaryID)
 	if err != nil || len(packed) > maxDeltaBytes {
 		exchange.Bulk = true
 		return
 	}
-	exchange.Delta, exchange.After, exchange.DeltaConfig = packed, l.revision, dictionary
+	exchange.Delta, exchange.After, exchange.DeltaDictionary = packed, l.revision, dictionary
 }
 
 // fillHeartbeat adds the fields that only leaders receive.
--- a/lead/link.go
+++ b/lead/link.go
@@ -45,9 +45,9 @@
 	// excludedUntil is the monotonic time until which the peer may not lead.
 	excludedUntil time.Duration
 
-	// revision and configRevision are those of the peer's records.
-	revision       uint64
-	configRevision uint64
+	// revision is that of the peer's records, dictionaryID that of its last configuration.
+	revision     uint64
+	dictionaryID uint64
 	// peerViewVersion, peerMembersVersion and peerEvidenceVersion are the versions
 	// of this VM's view, members and evidence that the peer has.
 	peerViewVersion     uint64
--- a/lead/message.go
+++ b/lead/message.go
@@ -71,14 +71,15 @@
 	// HasProof reports that ProofAge is set.
 	HasProof bool
 	// ProofAge is the time since the sender's last proof of freshness.
-	ProofAge       time.Duration
-	Revision       uint64
-	ConfigRevision uint64
-	// Delta is a compressed Update that continues After, or nil. DeltaConfig is
-	// the revision of the configuration used as dictionary.
-	Delta       []byte
-	After       uint64
-	DeltaConfig uint64
+	ProofAge time.Duration
+	Revision uint64
+	// DictionaryID is that of the sender's last configuration, or zero.
+	DictionaryID uint64
+	// Delta is a compressed Update that continues After, or nil. DeltaDictionary is
+	// the ID of its dictionary, or zero.
+	Delta           []byte
+	After           uint64
+	DeltaDictionary uint64
 	// Bulk asks the receiver to copy the records over TCP.
 	Bulk bool
 	// List is the change to the sender's list of VMs: in a heartbeat its
--- a/lead/read.go
+++ b/lead/read.go
@@ -71,6 +71,8 @@
 	backoff      time.Duration
 	succeededAt  time.Duration
 	hasSucceeded bool
+	// outdated counts the responses of an earlier epoch of the store than that of the records.
+	outdated uint64
 	// holdUntil is the monotonic time until which deletions are held after an outage.
 	holdUntil time.Duration
 	// failingSince is the monotonic time of the first failure since the last success,
@@ -195,17 +197,18 @@
 // finishRead applies the result of a call to the store.
 func (c *Controller) finishRead(now ferry.Moment, ended ReadEnded) {
 	c.read.inFlight = false
-	era, known := ferry.Revision(ended.Listing.Revision).Era(), ferry.Revision(c.records.Revision()).Era()
-	if ended.Err == nil && era < known {
+	epoch, known := ferry.Revision(ended.Listing.Revision).Epoch(), ferry.Revision(c.records.Revision()).Epoch()
+	if ended.Err == nil && epoch < known {
 		// It proves nothing about the present state.
-		ended.Err = &ferry.StoreError{Fault: ferry.StoreMalformed, Detail: fmt.Sprintf("the response is of era %d, known is %d", era, known)}
+		c.read.outdated++
+		ended.Err = &ferry.StoreError{Fault: ferry.StoreMalformed, Detail: fmt.Sprintf("the response is of epoch %d, known is %d", epoch, known)}
 	}
 	if ended.Err != nil {
 		c.failRead(now, ended)
 		return
 	}
-	if era > known && c.records.Revision() > 0 {
-		// What the store lacks since it came back from a copy is written again.
+	if epoch > known && c.records.Revision() > 0 {
+		// What the store lacks since it was restored from a copy is written again.
 		c.read.holdUntil = now.Monotonic + deletionHold
 	}
 	if c.hasProof && now.LongestSince(c.proof) > c.outageAfter() {
--- a/lead/records.go
+++ b/lead/records.go
@@ -32,7 +32,7 @@
 }
 
 // dictionary is the body of a configuration that serves to compress updates. VMs name it
-// by its contents: after a change of the era, one revision may have two.
+// by its contents: after a change of the epoch, one revision may have two.
 type dictionary struct {
 	id   uint64
 	body []byte
@@ -50,6 +50,8 @@
 	compactedRevision uint64
 	entries           map[string]recordEntry
 	configs           []dictionary
+	// kept counts the records that an older copy of the store did not replace.
+	kept uint64
 }
 
 // Update is a set of records that continues the state at After. An Update with
@@ -128,9 +130,10 @@
 		return false
 	}
 	if found && isOlderCopy(record.Record, stored, decoder) {
-		// What this VM knows is in force, as a record of the new era.
+		// What this VM knows is in force, as a record of the new epoch.
 		stored.Revision, stored.receivedAt = record.Revision, now
 		r.entries[record.Key] = stored
+		r.kept++
 		return false
 	}
 	entry := recordEntry{Record: record.Record, receivedAt: now, finalAt: finalAt}
@@ -151,10 +154,10 @@
 	return true
 }
 
-// isOlderCopy reports whether a record is of a later era of the store than the stored one
-// and says nothing newer: the store has come back from a copy of before.
+// isOlderCopy reports whether a record is of a later epoch of the store than the stored one
+// and says nothing newer: the store was restored from a copy of before.
 func isOlderCopy(record ferry.Record, stored recordEntry, decoder ferry.RecordDecoder) bool {
-	if record.Deleted || ferry.Revision(record.Revision).Era() == ferry.Revision(stored.Revision).Era() {
+	if record.Deleted || ferry.Revision(record.Revision).Epoch() == ferry.Revision(stored.Revision).Epoch() {
 		return false
 	}
 	known := stored.Record
--- a/lead/restore_test.go
+++ b/lead/restore_test.go
@@ -3,8 +3,11 @@
 package lead
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
 	"maps"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -24,19 +27,19 @@
 	return storeCopy{records: maps.Clone(s.records), revision: s.revision}
 }
 
-// restore brings the store back from a copy, in a new era.
+// restore restores the store from a copy, in a new epoch.
 func (s *simulation) restore(copied storeCopy) {
-	era := ferry.Revision(s.revision).Era() + 1
-	inEra := func(revision uint64) uint64 {
-		next, _ := ferry.NewRevision(era, ferry.Revision(revision).Number())
+	epoch := ferry.Revision(s.revision).Epoch() + 1
+	inEpoch := func(revision uint64) uint64 {
+		next, _ := ferry.NewRevision(epoch, ferry.Revision(revision).Number())
 		return uint64(next)
 	}
 	s.records = map[string]ferry.Record{}
 	for key, record := range copied.records {
-		record.Revision = inEra(record.Revision)
+		record.Revision = inEpoch(record.Revision)
 		s.records[key] = record
 	}
-	s.revision, s.compacted = inEra(copied.revision), inEra(0)
+	s.revision, s.compacted = inEpoch(copied.revision), inEpoch(0)
 	s.revisions = append(s.revisions, revisionTime{at: s.now, revision: s.revision})
 	for _, vm := range s.vms {
 		vm.isStoreUnreachable = true
@@ -57,9 +60,9 @@
 	return true
 }
 
-// After the store has come back from a copy, few VMs list it, and all have the new state
+// After the store was restored from a copy, few VMs list it, and all have the new state
 // soon, at every size of the fleet.
-func TestReadsAfterDrill(t *testing.T) {
+func TestReadsAfterRestore(t *testing.T) {
 	t.Parallel()
 	for _, size := range []int{36, 107, 293, 420} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
@@ -94,9 +97,9 @@
 	}
 }
 
-// Through drills beside outages, partitions, kills and suspensions, no proof covers a change
+// Through restores beside outages, partitions, kills and suspensions, no proof covers a change
 // that the VM lacks, and no VM's records go back.
-func TestProofsHoldThroughDrills(t *testing.T) {
+func TestProofsHoldThroughRestores(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(2, 9).Draw(t, "size")
@@ -143,8 +146,89 @@
 	})
 }
 
+// sequenceDecoder is a testDecoder for bodies that are numbers, the larger the newer.
+type sequenceDecoder struct{ testDecoder }
+
+// Compare implements ferry.RecordDecoder.
+func (sequenceDecoder) Compare(a, b ferry.Record) int {
+	return cmp.Or(cmp.Compare(len(a.Body), len(b.Body)), bytes.Compare(a.Body, b.Body))
+}
+
+// What is older than what a VM has doesn't replace it in a later epoch of the store, and is
+// passed on as what the VM has. What is as old or newer does, but for what has been deleted.
+func TestOlderCopyUndoesNothing(t *testing.T) {
+	t.Parallel()
+	epoch, _ := ferry.NewRevision(1, 2)
+	for _, c := range []struct {
+		name      string
+		isDeleted bool
+		body      string
+		want      string
+		kept      uint64
+	}{
+		{"older", false, "7", "8", 1},
+		{"the same", false, "8", "8", 0},
+		{"newer", false, "9", "9", 0},
+		{"older than before the deletion", true, "7", "", 1},
+		{"as before the deletion", true, "8", "", 1},
+		{"newer than before the deletion", true, "9", "9", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var records Records
+			merge := func(after, revision uint64, record ferry.Record) {
+				record.Key, record.Revision = "target", revision
+				_, ok := records.Merge(time.Second, Update{After: after, Revision: revision, Records: []UpdateRecord{{Record: record}}}, sequenceDecoder{})
+				is.True(ok)
+			}
+			merge(0, 5, ferry.Record{Body: []byte("8")})
+			if c.isDeleted {
+				merge(5, 6, ferry.Record{Deleted: true})
+			}
+			merge(0, uint64(epoch), ferry.Record{Body: []byte(c.body)})
+			live, _ := records.Live(time.Minute)
+			if c.want == "" {
+				is.Equal(len(live), 0)
+			} else {
+				is.Equal(string(live[0].Body), c.want)
+			}
+			is.Equal(records.kept, c.kept)
+			passedOn := records.Since(time.Second, 6)
+			is.Equal(len(passedOn.Records), 1)
+			is.Equal(passedOn.Records[0].Revision, uint64(epoch))
+			is.Equal(string(passedOn.Records[0].Body), c.want)
+		})
+	}
+}
+
+// A response of an earlier epoch of the store renews no proof, and nothing is taken from it.
+func TestOutdatedReadProvesNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := NewController(ferry.Moment{}, VM{Peers: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: 1}, nil, testDecoder{}, Options{CanRead: true})
+	read := func(at time.Duration, epoch, number uint64) {
+		revision, _ := ferry.NewRevision(epoch, number)
+		now := ferry.Moment{Monotonic: at, Wall: at}
+		c.Step(now, ReadEnded{Sent: now, Full: true, Listing: ferry.Listing{
+			Revision: uint64(revision), Records: []ferry.Record{{Key: "target", Revision: uint64(revision), Body: []byte(fmt.Sprint(epoch))}},
+		}})
+	}
+	read(time.Second, 2, 5)
+	before, _ := c.Proof()
+	read(2*time.Second, 1, 900)
+	proof, hasProof := c.Proof()
+	is.True(hasProof)
+	is.Equal(proof, before)
+	is.Equal(c.OutdatedReads(), uint64(1))
+	is.Equal(string(c.Live(ferry.Moment{Monotonic: 3 * time.Second})[0].Body), "2")
+	read(4*time.Second, 2, 6)
+	proof, _ = c.Proof()
+	is.True(proof != before)
+}
+
 // A target that has left isn't back in use when its entry is removed once more, while
-// deletions are held after an outage or a drill.
+// deletions are held after an outage or a restore.
 func TestFinalDeletionStaysFinal(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/node/copy.go
+++ b/node/copy.go
@@ -15,7 +15,7 @@
 const (
 	pathRecords      = "/Records"
 	queryAfter       = "After"
-	queryConfig      = "Config"
+	queryDictionary  = "Dictionary"
 	headerDictionary = "Ferry-Dictionary"
 	// copyTimeout bounds a copy of the records from another VM.
 	copyTimeout = 600 * time.Millisecond
@@ -34,12 +34,12 @@
 			http.Error(w, queryAfter+" is not a number", http.StatusBadRequest)
 			return
 		}
-		var config uint64
-		if config, err = strconv.ParseUint(r.URL.Query().Get(queryConfig), 10, 64); err != nil {
-			http.Error(w, queryConfig+" is not a number", http.StatusBadRequest)
+		var dictionary uint64
+		if dictionary, err = strconv.ParseUint(r.URL.Query().Get(queryDictionary), 10, 64); err != nil {
+			http.Error(w, queryDictionary+" is not a number", http.StatusBadRequest)
 			return
 		}
-		requested := copyRequested{after: after, config: config, reply: make(chan copyResult, 1)}
+		requested := copyRequested{after: after, dictionary: dictionary, reply: make(chan copyResult, 1)}
 		n.post(requested)
 		select {
 		case result := <-requested.reply:
@@ -65,9 +65,9 @@
 
 // startCopy copies the records of another VM in the background.
 func (n *Node) startCopy(ctx context.Context, start lead.StartCopy) {
-	_, config := n.controller.Revisions()
+	_, dictionary := n.controller.Revisions()
 	url := "http://" + start.From.String() + pathRecords +
-		"?" + queryAfter + "=" + strconv.FormatUint(start.After, 10) + "&" + queryConfig + "=" + strconv.FormatUint(config, 10)
+		"?" + queryAfter + "=" + strconv.FormatUint(start.After, 10) + "&" + queryDictionary + "=" + strconv.FormatUint(dictionary, 10)
 	go func() {
 		received, err := copyRecords(ctx, url)
 		if err != nil {
--- a/node/loop.go
+++ b/node/loop.go
@@ -30,10 +30,10 @@
 )
 
 // copyRequested is the event of another VM's request for a copy of the records
-// after a revision. config is the revision of the configuration which that VM has.
+// after a revision. dictionary is the ID of the last one which that VM has.
 type copyRequested struct {
-	after, config uint64
-	reply         chan copyResult
+	after, dictionary uint64
+	reply             chan copyResult
 }
 
 type copyResult struct {
@@ -73,7 +73,7 @@
 	case tokenReplyReceived:
 		n.handlePlaceReply(event.reply)
 	case copyRequested:
-		packed, dictionary, err := n.controller.PackSince(n.clock.Now(), event.after, event.config)
+		packed, dictionary, err := n.controller.PackSince(n.clock.Now(), event.after, event.dictionary)
 		event.reply <- copyResult{packed: packed, dictionary: dictionary, err: err}
 	case statusRequested:
 		event.reply <- n.status()
@@ -217,34 +217,40 @@
 	}
 	n.publishProof()
 	n.publishTokenServer()
-	n.logEra(event)
+	n.logEpoch(event)
 }
 
-// logOddEra counts an era that the store stated and that was not believed, and logs it if it
+// logOddEpoch counts an epoch that the store stated and that was not believed, and logs it if it
 // differs from the last one.
-func (n *Node) logOddEra(odd string) {
+func (n *Node) logOddEpoch(odd string) {
 	if odd == "" {
 		return
 	}
-	n.metrics.GetOrCreateCounter("ferry_store_odd_eras_total").Inc()
-	if last := n.oddEra.Swap(&odd); last == nil || *last != odd {
-		n.log.Warn("era of the store not believed", "stated", odd)
+	n.metrics.GetOrCreateCounter("ferry_store_odd_epochs_total").Inc()
+	if last := n.oddEpoch.Swap(&odd); last == nil || *last != odd {
+		n.log.Warn("epoch of the store not believed", "stated", odd)
 	}
 }
 
-// logEra logs that the records are of a later era of the store: it has come back from an
-// older copy. Only the loop calls it.
-func (n *Node) logEra(event lead.Event) {
+// logEpoch logs that the records are of a later epoch of the store: it was restored from an
+// older copy, and responses of an earlier one. Only the loop calls it.
+func (n *Node) logEpoch(event lead.Event) {
 	records, _ := n.controller.Revisions()
-	before, now := ferry.Revision(n.eraRevision), ferry.Revision(records)
-	n.eraRevision = records
-	if now.Era() == before.Era() || before == 0 {
+	before, now := ferry.Revision(n.epochRevision), ferry.Revision(records)
+	n.epochRevision = records
+	if outdated := n.controller.OutdatedReads(); outdated > n.outdatedReads {
+		n.outdatedReads = outdated
+		n.metrics.GetOrCreateCounter("ferry_store_outdated_reads_total").Set(outdated)
+		n.log.Warn("response of an earlier epoch of the store rejected", "epoch", now.Epoch(), "revision", now, "rejected", outdated)
+	}
+	if now.Epoch() == before.Epoch() || before == 0 {
 		return
 	}
 	read, isRead := event.(lead.ReadEnded)
-	n.metrics.GetOrCreateCounter("ferry_store_eras_total").Inc()
-	n.log.Warn("store came back from an older copy", "era", now.Era(), "before", before.Era(), "revision", now, "revisionBefore", before,
-		"fromStore", isRead, "listed", len(read.Listing.Records), "deletionsHeldFor", n.controller.DeletionHold(n.clock.Now()))
+	n.metrics.GetOrCreateCounter("ferry_store_epochs_total").Inc()
+	n.metrics.GetOrCreateCounter("ferry_store_kept_records_total").Set(n.controller.KeptRecords())
+	n.log.Warn("store restored from an older copy", "epoch", now.Epoch(), "before", before.Epoch(), "revision", now, "revisionBefore", before,
+		"fromStore", isRead, "listed", len(read.Listing.Records), "kept", n.controller.KeptRecords(), "deletionsHeldFor", n.controller.DeletionHold(n.clock.Now()))
 }
 
 // publishProof publishes the proof of freshness. Its records have to be in force: with
@@ -418,7 +424,7 @@
 		result = fault.Fault.String()
 	}
 	n.metrics.GetOrCreateCounter(fmt.Sprintf(`ferry_store_calls_total{call=%q,result=%q}`, call, result)).Inc()
-	n.logOddEra(ended.Listing.OddEra)
+	n.logOddEpoch(ended.Listing.OddEpoch)
 	switch {
 	case ended.Err != nil:
 		n.log.Info("store not read", "full", read.Full, "error", ended.Err)
--- a/node/node.go
+++ b/node/node.go
@@ -87,8 +87,8 @@
 	bodies        *flight.Ledger
 	traffic       *traffic
 
-	// oddEra is the last era that the store stated and that was not believed, or nil.
-	oddEra atomic.Pointer[string]
+	// oddEpoch is the last epoch that the store stated and that was not believed, or nil.
+	oddEpoch atomic.Pointer[string]
 
 	// The loop owns the fields below.
 	controller    *lead.Controller
@@ -109,8 +109,10 @@
 	isStale        bool
 	viewSize       int
 	division       lead.Division
-	// eraRevision is the revision of the records when logEra last looked.
-	eraRevision uint64
+	// epochRevision is the revision of the records when logEpoch last looked.
+	epochRevision uint64
+	// outdatedReads is the number of responses of an earlier epoch that were logged.
+	outdatedReads uint64
 
 	// placeCaches holds the tokens for the VMs of the place that this VM leads.
 	placeCaches   map[ferry.AccountID]*grant.PlaceCache
@@ -150,6 +152,7 @@
 	n.chooser.SetSeed(rand.Uint64())
 	n.chooser.SetEvenLoad(evenLoad(settings))
 	n.registerSlotMetrics()
+	n.metrics.NewGauge("ferry_retry_slack", n.budgets.Slack)
 	n.limiter = &tokenLimiter{clock: dependencies.Clock, send: n.sendTokenRequest, caches: map[ferry.AccountID]*grant.TokenCache{}}
 	counters := relay.NewMetrics(n.metrics)
 	n.forwarder = relay.NewForwarder(dependencies.Clock, dependencies.Dialect, n.chooser, n.budgets, n.pool, n.state, n, dependencies.Log, counters)
--- a/node/report.go
+++ b/node/report.go
@@ -20,10 +20,10 @@
 	Place ferry.PlaceID
 	// Version is the configuration in force, zero for none.
 	Version uint64
-	// Revision is the store's revision of the records, and StoreEra the era in which it
+	// Revision is the store's revision of the records, and StoreEpoch the epoch in which it
 	// counts, zero if the store states none.
-	Revision uint64
-	StoreEra uint64
+	Revision   uint64
+	StoreEpoch uint64
 	// Findings is the number of entries of that configuration that could not be used
 	// as they are. The log names them.
 	Findings int
@@ -152,7 +152,7 @@
 		Budgets: n.budgetStatus(),
 	}
 	records, _ := n.controller.Revisions()
-	status.Revision, status.StoreEra = ferry.Revision(records).Number(), ferry.Revision(records).Era()
+	status.Revision, status.StoreEpoch = ferry.Revision(records).Number(), ferry.Revision(records).Epoch()
 	status.Rejected, status.RejectedReason = n.recordCache.rejected.revision, n.recordCache.rejected.reason
 	if snapshot := n.state.snapshot.Load(); snapshot != nil {
 		status.Version = snapshot.Version()
--- a/node/retry.go
+++ b/node/retry.go
@@ -8,12 +8,12 @@
 // setRetryBounds bounds the retries of this VM by its part of the operators' bound.
 func (n *Node) setRetryBounds(division lead.Division) {
 	bounds := n.state.bounds.Load()
-	hadSlack := n.budgets.HasSlack()
+	before := n.budgets.Slack()
 	n.budgets.SetBounds(retry.FleetBounds{
 		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 		VMs: division.Divisor, IsIsolated: division.IsIsolated, Age: division.Age,
 	})
-	if !hadSlack && n.budgets.HasSlack() {
-		n.log.Info("retry slack in use", "fleet", bounds.RetrySlack, "among", division.Divisor, "known", division.IsKnown, "age", division.Age)
+	if slack := n.budgets.Slack(); before == 0 && slack > 0 {
+		n.log.Info("retry slack in use", "slack", slack, "fleet", bounds.RetrySlack, "among", division.Divisor, "known", division.IsKnown, "age", division.Age)
 	}
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -56,7 +56,7 @@
 	var refusal *ferry.RefusalError
 	if !errors.As(err, &refusal) {
 		s.log.Warn("aborted", slog.String("request", exchange.ID), slog.String("error", trace.UserMessage(err)))
-		drain.MarkCut(request)
+		drain.ResetUnframed(request)
 		panic(http.ErrAbortHandler)
 	}
 	if s.requests.Grace.IsStopping() {
--- a/record.go
+++ b/record.go
@@ -7,7 +7,7 @@
 )
 
 // Record is one published value as the platform holds it. Revisions of all
-// records come from one counter that only increases, but for its eras (see Revision).
+// records come from one counter that only increases, but for its epochs (see Revision).
 type Record struct {
 	Key      string
 	Revision uint64
@@ -21,8 +21,8 @@
 	Records []Record
 	// Revision is the revision after which a watch continues without a gap.
 	Revision uint64
-	// OddEra is an era that the store stated and that was not believed, or empty.
-	OddEra string
+	// OddEpoch is an epoch that the store stated and that was not believed, or empty.
+	OddEpoch string
 }
 
 // RecordStore gives read-only access to the published records. Its errors are
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -77,6 +77,8 @@
 	isReused bool
 	// isShortened reports that a planned stop has shortened the deadline of the target.
 	isShortened bool
+	// isEarly reports that the response came before the request was sent whole.
+	isEarly bool
 }
 
 // obeysStop reports whether the target gave the request up at a deadline that a planned
@@ -201,23 +203,19 @@
 		// The caller broke its body off, which says nothing about the target.
 		a.verdict = ferry.VerdictNone
 	}
+	a.isEarly = a.response != nil && (err != nil || !rest.isWhole())
 	switch {
-	case a.response == nil:
-	case err != nil:
-		a.response.release = releaseCut(a.response.release)
-	case !rest.isWhole() && body.rest != nil:
-		a.response.release = releaseCut(a.response.release)
-	case !rest.isWhole():
-		a.response.release = rest.releaseAfter(a.response.release)
+	case !a.isEarly:
+	case err != nil || body.rest != nil:
+		// The target would read the next request as the rest of the body.
+		release := a.response.release
+		a.response.release = func(bool) { release(false) }
+		f.metrics.countEarly(false)
+	default:
+		a.response.release = f.releaseAfter(rest, a.response.release)
 	}
 }
 
-// releaseCut returns how a connection is released on which a request was not sent whole:
-// the target would read the next one as the rest of the body.
-func releaseCut(release func(isComplete bool)) func(isComplete bool) {
-	return func(bool) { release(false) }
-}
-
 // transfer is the sending of what was not sent of a body with the head of its request. It
 // goes on beside the reading of the response: a target that responds early may send no more
 // before its response is read. The nil transfer has ended.
@@ -260,19 +258,23 @@
 
 // releaseAfter returns how a connection is released whose response came before everything
 // was sent: a target that reads on gets the rest, while the response is delivered.
-func (t *transfer) releaseAfter(release func(isComplete bool)) func(isComplete bool) {
+func (f *Forwarder) releaseAfter(t *transfer, release func(isComplete bool)) func(isComplete bool) {
 	return func(isComplete bool) {
 		if !isComplete {
+			f.metrics.countEarly(false)
 			release(false)
 			return
 		}
 		go func() {
+			timeout := time.NewTimer(unsentTimeout)
+			defer timeout.Stop()
 			select {
 			case <-t.done:
-				release(t.err == nil)
-			case <-time.After(unsentTimeout):
-				release(false)
+			case <-timeout.C:
 			}
+			isSent := t.isWhole()
+			f.metrics.countEarly(isSent)
+			release(isSent)
 		}()
 	}
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -336,7 +336,7 @@
 		slog.String("target", string(pending.pick.Target.ID)), slog.String("place", string(pending.pick.Target.Place)),
 		slog.String("verdict", a.verdict.String()), slog.String("outcome", a.outcome.String()), slog.Int("status", status),
 		slog.Duration("took", report.Took), slog.Duration("cost", pending.pick.Cost), slog.Float64("odds", pending.pick.LogOdds),
-		slog.String("slot", pending.pick.Slot.String()), slog.Bool("reused", a.isReused), slog.Any("error", BoundedError(a.err)))
+		slog.String("slot", pending.pick.Slot.String()), slog.Bool("reused", a.isReused), slog.Bool("early", a.isEarly), slog.Any("error", BoundedError(a.err)))
 }
 
 // maxLoggedError bounds the text of an error in the log, in bytes: package http
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -10,6 +10,7 @@
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/room"
+	"monsoonferry.org/ferry/socket"
 )
 
 // Metrics counts the decisions of the request path. Its labels have a bounded
@@ -46,6 +47,7 @@
 	case errors.Is(a.err, errTooManyLines):
 		m.countExcess("Lines")
 	}
+	m.countLost(a.err)
 	if a.verdict == ferry.VerdictGood {
 		m.set.GetOrCreateHistogram(fmt.Sprintf(`ferry_attempt_duration_seconds{kind=%q,distance=%q}`, kindLabel(route), distance)).
 			Update(took.Seconds())
@@ -58,6 +60,19 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_excess_total{kind=%q}`, kind)).Inc()
 }
 
+// countLost counts a response whose connection was lost where its body would have ended.
+func (m *Metrics) countLost(err error) {
+	if lost := (*socket.LostError)(nil); errors.As(err, &lost) {
+		m.set.GetOrCreateCounter(`ferry_responses_lost_total`).Inc()
+	}
+}
+
+// countEarly counts a response that came before its request was sent, and whether the rest
+// was sent after it.
+func (m *Metrics) countEarly(isSent bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_early_responses_total{sent="%t"}`, isSent)).Inc()
+}
+
 // countNotice counts a notice of a target, Leaving or Backoff, that took effect.
 func (m *Metrics) countNotice(kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_notices_total{kind=%q}`, kind)).Inc()
--- a/relay/response.go
+++ b/relay/response.go
@@ -66,6 +66,7 @@
 	defer putChunk(copied)
 	_, err := io.CopyBuffer(writer, a.response.rest, (*copied)[:chunkSize])
 	hasStopped := stop()
+	f.metrics.countLost(err)
 	a.response.release(err == nil && hasStopped)
 	return trace.Wrap(err, "answer")
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -83,7 +83,7 @@
 	if !errors.As(err, &refusal) {
 		s.metrics.countAborted(exchange.Route)
 		s.log.Info("aborted", "request", exchange.ID, "took", took, "error", err)
-		drain.MarkCut(request)
+		drain.ResetUnframed(request)
 		panic(http.ErrAbortHandler)
 	}
 	s.metrics.countRequest(exchange.Route, refusal.Status, took)
--- a/retry/fleet.go
+++ b/retry/fleet.go
@@ -112,11 +112,14 @@
 	}
 }
 
-// HasSlack reports whether the budgets of this VM hold its part of the fleet's slack.
-func (b *FleetBudgets) HasSlack() bool {
+// Slack returns this VM's part of the fleet's slack, in retries, or zero while it is withheld.
+func (b *FleetBudgets) Slack() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.hasSlack
+	if !b.hasSlack {
+		return 0
+	}
+	return b.slack
 }
 
 // Deposit adds the tokens of a first attempt.
