--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -98,17 +98,24 @@
 	return nil
 }
 
+// drawSimulation returns a small fleet that has started.
+func drawSimulation(t *rapid.T) *simulation {
+	size := rapid.IntRange(2, 9).Draw(t, "size")
+	s := newSimulation(rapid.Uint64().Draw(t, "seed"), size)
+	s.places = rapid.IntRange(1, 3).Draw(t, "places")
+	s.startAll()
+	s.run(6*time.Second, nil)
+	return s
+}
+
 // TestProofsAndSharesHold injects random faults. No proof may cover a change
 // that the VM lacks, and, once the fleet size is known, shares must not exceed
 // one.
 func TestProofsAndSharesHold(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		size := rapid.IntRange(2, 9).Draw(t, "size")
-		s := newSimulation(rapid.Uint64().Draw(t, "seed"), size)
-		s.places = rapid.IntRange(1, 3).Draw(t, "places")
-		s.startAll()
-		s.run(6*time.Second, nil)
+		s := drawSimulation(t)
+		size := len(s.vms)
 		check := func() {
 			if err := checkProofs(s); err != nil {
 				t.Fatalf("at %v: %v", s.now, err)
--- a/lead/restore_test.go
+++ b/lead/restore_test.go
@@ -102,11 +102,8 @@
 func TestProofsHoldThroughRestores(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		size := rapid.IntRange(2, 9).Draw(t, "size")
-		s := newSimulation(rapid.Uint64().Draw(t, "seed"), size)
-		s.places = rapid.IntRange(1, 3).Draw(t, "places")
-		s.startAll()
-		s.run(6*time.Second, nil)
+		s := drawSimulation(t)
+		size := len(s.vms)
 		copied := s.copyStore()
 		for range rapid.IntRange(1, 12).Draw(t, "faults") {
 			i := rapid.IntRange(0, size-1).Draw(t, "vm")
--- a/lead/retry_test.go
+++ b/lead/retry_test.go
@@ -33,6 +33,15 @@
 	return &retryFleet{simulation: newSimulation(seed, count), every: 1, budgets: map[*Controller]*retry.FleetBudgets{}}
 }
 
+// startWhere starts the VMs whose index meets a condition.
+func (f *retryFleet) startWhere(isMet func(i int) bool) {
+	for i := range f.vms {
+		if isMet(i) {
+			f.start(i)
+		}
+	}
+}
+
 // play simulates for a time.
 func (f *retryFleet) play(d time.Duration) {
 	for end := f.now + d; f.now < end; {
@@ -97,17 +106,9 @@
 func TestRetriesOfVMsThatNeverMet(t *testing.T) {
 	t.Parallel()
 	f := newRetryFleet(9, 6)
-	for i := range f.vms {
-		if i%2 == 1 {
-			f.start(i)
-		}
-	}
+	f.startWhere(func(i int) bool { return i%2 == 1 })
 	f.play(2 * time.Minute)
-	for i := range f.vms {
-		if i%2 == 0 {
-			f.start(i)
-		}
-	}
+	f.startWhere(func(i int) bool { return i%2 == 0 })
 	f.play(time.Minute)
 	f.check(t)
 }
@@ -157,11 +158,7 @@
 	t.Parallel()
 	f := newRetryFleet(12, 36)
 	f.every = 10
-	for i := range f.vms {
-		if i%12 == 0 {
-			f.start(i)
-		}
-	}
+	f.startWhere(func(i int) bool { return i%12 == 0 })
 	f.play(30 * time.Second)
 	for i := range f.vms {
 		if i%12 != 0 {
--- a/relay/early_test.go
+++ b/relay/early_test.go
@@ -10,12 +10,17 @@
 	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
+	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/fake"
+	"monsoonferry.org/ferry/place"
+	"monsoonferry.org/ferry/socket"
 )
 
 const (
@@ -335,6 +340,21 @@
 		h.eventually(t, func() bool { return h.pool.Idle() == 1 })
 	}
 	is.Equal(int(dials.Load()), 1)
+	// The kernel may take the second body whole.
+	is.True(h.metrics.GetOrCreateCounter(`ferry_early_responses_total{sent="true"}`).Get() > 0)
+}
+
+// A response that is lost where its body would have ended is counted.
+func TestLostResponseIsCounted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	set := metrics.NewSet()
+	counters := NewMetrics(set)
+	route := &ferry.Route{ID: "r"}
+	for _, err := range []error{nil, io.ErrUnexpectedEOF, fmt.Errorf("body: %w", &socket.LostError{Cause: syscall.ECONNRESET})} {
+		counters.countAttempt(route, &attempt{pick: place.Pick{Target: &ferry.Target{}}, err: err}, time.Second)
+	}
+	is.Equal(set.GetOrCreateCounter("ferry_responses_lost_total").Get(), uint64(1))
 }
 
 // blockedReader blocks in Read until it is interrupted.
