--- a/retry/fleet.go
+++ b/retry/fleet.go
@@ -91,7 +91,8 @@
 // maySpendSlack reports whether nobody else can still use this VM's part of the slack.
 func (b FleetBounds) maySpendSlack() bool { return !b.IsIsolated && b.Age >= b.Window+joinTime }
 
-// SetBounds sets the bounds. Budgets never hold more tokens than the slack of their VM.
+// SetBounds sets the bounds. Budgets never hold more tokens than their VM's part of the slack,
+// or than one first attempt adds.
 func (b *FleetBudgets) SetBounds(bounds FleetBounds) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/socket/conn.go
+++ b/socket/conn.go
@@ -53,10 +53,8 @@
 // this process set the deadline or closed the connection. EPIPE means that the connection
 // was reset after the end of the peer's stream, or that an earlier call took the error.
 func (c *Conn) keep(err error) {
-	for _, other := range []error{nil, io.EOF, os.ErrDeadlineExceeded, net.ErrClosed, syscall.EPIPE} {
-		if errors.Is(err, other) {
-			return
-		}
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EPIPE) {
+		return
 	}
 	c.lost.CompareAndSwap(nil, &LostError{Cause: err})
 }
