relay: a reset response without a length, on kept connections and for HTTP/1.0 callers

The tests there use new connections of targets and callers of HTTP/1.1.

TestResetResponseWithoutLengthIsNotWholeInOtherForms adds target connections that have carried another request and callers of HTTP/1.0, each with buffered and streamed uploads (the caller still sends), buffered and streamed responses, a reset and a close with a part of the upload unread. fake.EarlyTarget can respond to a first request for that.

It passes on, so no code changes.

--- a/fake/early.go
+++ b/fake/early.go
@@ -55,6 +55,9 @@
 type EarlyTarget struct {
 	// Respond returns the bytes of the response to a request.
 	Respond func(request *http.Request) []byte
+	// RespondFirst returns the bytes of a whole response to the first request of a connection,
+	// which has no body. If it is nil, connections carry one request.
+	RespondFirst func(request *http.Request) []byte
 	// Ending is how the connection ends once the response has arrived.
 	Ending Ending
 }
@@ -107,7 +110,17 @@
 // serve responds to one request and ends the connection.
 func (e EarlyTarget) serve(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
+	reader := bufio.NewReader(conn)
+	if e.RespondFirst != nil {
+		first, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err = conn.Write(e.RespondFirst(first)); err != nil {
+			return
+		}
+	}
+	request, err := http.ReadRequest(reader)
 	if err != nil {
 		return
 	}
--- a/relay/early_test.go
+++ b/relay/early_test.go
@@ -95,6 +95,12 @@
 // startUpload sends the head of an upload of size bytes, in chunks or with a length.
 // lines are additional header lines.
 func (h *harness) startUpload(t *testing.T, size int, isChunked bool, lines ...string) caller {
+	t.Helper()
+	return h.startUploadAs(t, "HTTP/1.1", size, isChunked, lines...)
+}
+
+// startUploadAs is startUpload for a caller of another version of HTTP.
+func (h *harness) startUploadAs(t *testing.T, version string, size int, isChunked bool, lines ...string) caller {
 	t.Helper()
 	conn, err := net.Dial("tcp4", h.httpServer.Listener.Addr().String())
 	if err != nil {
@@ -110,7 +116,7 @@
 	} else {
 		lines = append(lines, fmt.Sprintf("Content-Length: %d", size))
 	}
-	if _, err = fmt.Fprintf(conn, "POST /upload/x HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n", strings.Join(lines, "\r\n")); err != nil {
+	if _, err = fmt.Fprintf(conn, "POST /upload/x %s\r\nHost: h\r\n%s\r\n\r\n", version, strings.Join(lines, "\r\n")); err != nil {
 		t.Fatal(err)
 	}
 	return caller{Conn: conn, isChunked: isChunked}
--- a/relay/reset_test.go
+++ b/relay/reset_test.go
@@ -52,15 +52,22 @@
 	// upload and response are the sizes of the bodies, cut what is left out at the end of
 	// the encoded response, in bytes.
 	upload, response, cut int
+	// isKept reports that the target's connection has carried another request, isHTTP10 that
+	// the caller speaks HTTP/1.0.
+	isKept, isHTTP10 bool
 }
 
 // call sends the upload.
 func (e earlyResponse) call(t *testing.T) callResult {
 	t.Helper()
-	listener, err := fake.EarlyTarget{Ending: e.ending, Respond: func(request *http.Request) []byte {
+	early := fake.EarlyTarget{Ending: e.ending, Respond: func(request *http.Request) []byte {
 		encoded := e.framing.encode(request.Header.Get(testID), numberedBody(e.response))
 		return encoded[:len(encoded)-e.cut]
-	}}.Listen(t.Context())
+	}}
+	if e.isKept {
+		early.RespondFirst = func(request *http.Request) []byte { return framedByLength.encode(request.Header.Get(testID), nil) }
+	}
+	listener, err := early.Listen(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +75,13 @@
 	target := startTarget(t, "a", respondOK)
 	target.target.Address = listener.Addr().(*net.TCPAddr).AddrPort()
 	h := newLoggedHarness(t, slog.NewTextHandler(t.Output(), nil), target)
-	caller := h.startUpload(t, e.upload, false)
+	if e.isKept {
+		if first := h.call(t.Context(), http.MethodGet, "/safe/x", ""); !first.isWhole() {
+			t.Fatalf("the first response is %+v", first)
+		}
+		h.eventually(t, func() bool { return h.pool.Idle() == 1 })
+	}
+	caller := h.startUploadAs(t, map[bool]string{false: "HTTP/1.1", true: "HTTP/1.0"}[e.isHTTP10], e.upload, false)
 	defer func() { _ = caller.Close() }()
 	// A response that closes the connection outruns the body of its caller.
 	caller.pause = earlyPause
@@ -122,6 +135,30 @@
 	}
 }
 
+// The same holds where the target's connection has carried another request, and for callers
+// of HTTP/1.0, for which the end of the connection could be that of the response.
+func TestResetResponseWithoutLengthIsNotWholeInOtherForms(t *testing.T) {
+	t.Parallel()
+	for _, upload := range []int{bufferedUpload, streamedUpload} {
+		for _, response := range []int{bufferedAnswer, streamedAnswer} {
+			for _, ending := range []fake.Ending{fake.EndingReset, fake.EndingUnread} {
+				for _, form := range []earlyResponse{{isKept: true}, {isHTTP10: true}, {isKept: true, isHTTP10: true}} {
+					e := form
+					e.framing, e.ending, e.upload, e.response, e.cut = framedByClose, ending, upload, response, response/2
+					t.Run(fmt.Sprint(upload, " ", response, " ", ending, " kept ", e.isKept, " HTTP/1.0 ", e.isHTTP10), func(t *testing.T) {
+						t.Parallel()
+						for range 5 {
+							if got := e.call(t); got.isWhole() {
+								t.Fatalf("the caller got %d of %d bytes as a whole response", len(got.body), response)
+							}
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
 // A response whose end is proved by its length, its chunks or the end of the target's
 // stream is delivered whole, although the target then resets the rest of the upload.
 func TestEarlyResponseWithProvedEndIsDelivered(t *testing.T) {
