head, relay: a response whose status is none is refused

Relay took any status below 200 for an interim response and read on. What followed, though it was the body of that very answer, was taken for the response: a 000 with a length of 66 and a whole signed 200 behind it gave the caller that 200, for safe, unsafe and upload, on new and kept connections. A 000 without a body on a connection that stays open gave 504 at the deadline, though the target had answered. 600 and 999 were passed on. A 101 that nobody had asked for counted as interim.

Cause: package http takes three characters that are a number for a status ("000", "+20"), blanks before it, control bytes behind it, and versions 0.9 and 2.0. Relay believed what it returned.

Change: package head checks the bytes of a head before package http reads them, by RFC 9112 section 4 and RFC 9110 section 15, and names what it refuses (Version, Status, Upgrade, Lines). relay.conn.readHead is the one place where the relay reads heads; the limit of lines moves into the checker. After such a head the connection is closed, the outcome is unknown, callers get 502 at once, requests that may run more than once are tried elsewhere within the budget, and the target gets the evidence of a reset. The line `attempt` names the fault and the line, ferry_invalid_heads_total counts it; nothing of what was sent is logged.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	GOARCH=arm64 $(GO) vet ./... && GOARCH=arm64 $(GO) build ./...
 
 race:
-	.ci/unit -race ./limit ./queue ./route ./peer ./proxy ./health ./host ./golden ./lead ./grant ./place ./relay ./node ./platform ./drain ./socket
+	.ci/unit -race ./limit ./queue ./route ./peer ./proxy ./health ./host ./golden ./lead ./grant ./place ./relay ./node ./platform ./drain ./socket ./head
 
 lint: $(TOOLS)/golangci-lint
 	$(TOOLS)/golangci-lint run
--- /dev/null
+++ b/head/check.go
@@ -0,0 +1,132 @@
+package head
+
+import (
+	"bytes"
+	"net/http"
+)
+
+const (
+	// statusStart and statusEnd are the positions of the status in its line, in bytes.
+	statusStart = len("HTTP/1.1 ")
+	statusEnd   = len("HTTP/1.1 200")
+	// maxStatus is the largest status, following RFC 9110 section 15.
+	maxStatus = 599
+)
+
+// Checker checks one head after another. The zero Checker is ready to check one that may have
+// any number of lines. It must not be copied while a head is checked.
+type Checker struct {
+	// MaxLines bounds the lines of one head without the empty one. Zero means no bound.
+	MaxLines int
+
+	// partial is the beginning of a line whose end has not been read.
+	partial []byte
+	lines   int
+	status  int
+	isDone  bool
+}
+
+// Begin expects the beginning of another head.
+func (c *Checker) Begin() {
+	*c = Checker{MaxLines: c.MaxLines}
+}
+
+// IsDone reports whether the whole head was checked.
+func (c *Checker) IsDone() bool { return c.isDone }
+
+// Status returns the status of the response, or zero before its line was checked.
+func (c *Checker) Status() int { return c.status }
+
+// Check checks the next bytes of the head. It returns how many of them belong to valid lines
+// of the head, and an Error if the next line is not valid. Bytes after the head are not checked.
+func (c *Checker) Check(p []byte) (n int, err error) {
+	for n < len(p) && !c.isDone {
+		end := bytes.IndexByte(p[n:], '\n')
+		if end < 0 {
+			c.partial = append(c.partial, p[n:]...)
+			return len(p), nil
+		}
+		line := p[n : n+end]
+		if len(c.partial) > 0 {
+			c.partial = append(c.partial, line...)
+			line = c.partial
+		}
+		if err = c.checkLine(bytes.TrimSuffix(line, []byte{'\r'})); err != nil {
+			return n, err
+		}
+		c.partial = c.partial[:0]
+		n += end + 1
+	}
+	if c.isDone {
+		c.partial = nil
+	}
+	return n, nil
+}
+
+// checkLine checks a line without its end.
+func (c *Checker) checkLine(line []byte) error {
+	if c.lines > 0 && len(line) == 0 {
+		c.isDone = true
+		return nil
+	}
+	c.lines++
+	if fault := c.faultOf(line); fault != FaultNone {
+		return &Error{Fault: fault, Line: c.lines}
+	}
+	return nil
+}
+
+// faultOf returns the fault of a line that isn't empty, or of an empty first one.
+func (c *Checker) faultOf(line []byte) Fault {
+	switch {
+	case c.MaxLines > 0 && c.lines > c.MaxLines:
+		return FaultLines
+	case c.lines == 1:
+		return c.checkStatusLine(line)
+	}
+	return FaultNone
+}
+
+// checkStatusLine checks the first line, following RFC 9112 section 4.
+func (c *Checker) checkStatusLine(line []byte) Fault {
+	const minor = len("HTTP/1.")
+	if len(line) < statusStart || string(line[:minor]) != "HTTP/1." || !isDigit(line[minor]) || line[minor+1] != ' ' {
+		return FaultVersion
+	}
+	if len(line) < statusEnd || !isNumber(line[statusStart:statusEnd]) {
+		return FaultStatus
+	}
+	for _, digit := range line[statusStart:statusEnd] {
+		c.status = 10*c.status + int(digit-'0')
+	}
+	reason := line[statusEnd:]
+	switch {
+	case len(reason) > 0 && reason[0] != ' ', !isText(reason), c.status < http.StatusContinue, c.status > maxStatus:
+		return FaultStatus
+	case c.status == http.StatusSwitchingProtocols:
+		return FaultUpgrade
+	}
+	return FaultNone
+}
+
+// isNumber reports whether a text consists of digits.
+func isNumber(text []byte) bool {
+	for _, b := range text {
+		if !isDigit(b) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// isText reports whether bytes hold no control byte but tabs.
+func isText(text []byte) bool {
+	for _, b := range text {
+		if b < ' ' && b != '\t' || b == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/head/check_test.go
@@ -0,0 +1,78 @@
+package head
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry/fake"
+)
+
+// checkAll checks interim heads and the head after them, in pieces of the given size. It
+// returns the length of the heads.
+func checkAll(response []byte, size int) (length int, err error) {
+	var checker Checker
+	checker.Begin()
+	for length < len(response) {
+		var n int
+		n, err = checker.Check(response[length:min(length+size, len(response))])
+		length += n
+		if err != nil || checker.IsDone() && checker.Status() >= http.StatusOK {
+			return length, err
+		}
+		if checker.IsDone() {
+			checker.Begin()
+		}
+	}
+	return length, errors.New("the head has no end")
+}
+
+// Each response of the table is valid or not, whatever the pieces in which it is read.
+func TestHeadsOfTable(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{1, 2, 7, 1 << 20} {
+		for _, valid := range fake.ValidHeads() {
+			encoded := valid.Encode("X-Id: 1")
+			length, err := checkAll(encoded, size)
+			if err != nil || string(encoded[length:]) != valid.Body {
+				t.Errorf("%s in pieces of %d: %v, followed by %q", valid.Name, size, err, encoded[length:])
+			}
+		}
+		for _, invalid := range fake.InvalidHeads() {
+			_, err := checkAll(invalid.Encode("X-Id: 1"), size)
+			var headErr *Error
+			if !errors.As(err, &headErr) {
+				t.Errorf("%s in pieces of %d: %v", invalid.Name, size, err)
+			}
+		}
+	}
+}
+
+// The error names the fault and the line, and nothing of what was sent.
+func TestErrorNamesFault(t *testing.T) {
+	t.Parallel()
+	const status = "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct {
+		head  string
+		fault Fault
+		line  int
+	}{
+		{"HTTP/2.0 200 SECRET\r\n", FaultVersion, 1},
+		{"HTTP/1.1 000 SECRET\r\n", FaultStatus, 1},
+		{"HTTP/1.1 101 SECRET\r\n", FaultUpgrade, 1},
+		{status + "A: b\r\nC: d\r\nE: f\r\nSECRET: x\r\n", FaultLines, 5},
+	} {
+		is := is.New(t)
+		checker := Checker{MaxLines: 4}
+		checker.Begin()
+		_, err := checker.Check([]byte(c.head))
+		var headErr *Error
+		is.True(errors.As(err, &headErr))
+		is.Equal(*headErr, Error{Fault: c.fault, Line: c.line})
+		is.True(!strings.Contains(headErr.Error(), "SECRET"))
+		is.True(strings.Contains(headErr.Error(), c.fault.String()))
+	}
+}
--- /dev/null
+++ b/head/fault.go
@@ -0,0 +1,42 @@
+package head
+
+import "fmt"
+
+// Fault is what makes a head invalid.
+type Fault int
+
+// The faults.
+const (
+	// FaultNone means that nothing is wrong.
+	FaultNone Fault = iota
+	// FaultVersion means that the first line does not begin with a version of HTTP/1.
+	FaultVersion
+	// FaultStatus means that the status is not a number of three digits from 100 to 599, or
+	// that the rest of the status line holds a control byte.
+	FaultStatus
+	// FaultUpgrade means that the target has changed the protocol, which nobody has asked for.
+	FaultUpgrade
+	// FaultLines means that the head has too many lines.
+	FaultLines
+)
+
+// String returns the name of the fault as it appears in logs and metrics.
+func (f Fault) String() string {
+	names := [...]string{"None", "Version", "Status", "Upgrade", "Lines"}
+	if f < 0 || int(f) >= len(names) {
+		return "Invalid"
+	}
+	return names[f]
+}
+
+// Error reports an invalid head. It holds nothing of what was sent.
+type Error struct {
+	Fault Fault
+	// Line is the number of the line that was refused, from 1.
+	Line int
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("the response has an invalid head: %s in line %d", e.Fault, e.Line)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -428,13 +428,8 @@
 func (f *Forwarder) readResponse(exchange *ferry.Exchange, hold *flight.Hold, connection *conn, a *attempt) {
 	for i := range maxStrayResponses + 1 {
 		// The body is read here or closed with the connection.
-		if err := connection.beginHead(); err != nil {
-			a.setError(err)
-			return
-		}
-		response, err := http.ReadResponse(connection.reader, exchange.Request) //nolint:bodyclose // the connection is closed instead
-		connection.limit.end()
-		if err = connection.limit.cause(err); err != nil {
+		response, err := connection.readHead(exchange.Request) //nolint:bodyclose // the connection is closed instead
+		if err != nil {
 			a.setError(err)
 			return
 		}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -18,6 +19,7 @@
 
 	"monsoonferry.org/ferry/drain"
 	"monsoonferry.org/ferry/flight"
+	"monsoonferry.org/ferry/head"
 	"monsoonferry.org/ferry/socket"
 )
 
@@ -51,9 +53,6 @@
 // errTooManyBytes reports that a target sent more than a readLimit allows.
 var errTooManyBytes = errors.New("the target sent too many bytes that are no body for the caller")
 
-// errTooManyLines reports that a target sent a head of more than maxHeadLines.
-var errTooManyLines = errors.New("the target sent a head of too many lines")
-
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
@@ -83,20 +82,19 @@
 	return &conn{Conn: connection, reader: bufio.NewReaderSize(limit, bufferSize), limit: limit, idleTimeout: defaultIdleTimeout}, nil
 }
 
-// readLimit bounds the bytes that are read from a connection while a head is read,
-// since package http bounds neither the lines of a response nor their number, and
-// while a body is discarded.
+// readLimit bounds the bytes that are read from a connection while a head is read, since
+// package http doesn't bound them in a response, and while a body is discarded. It checks
+// the bytes of heads.
 type readLimit struct {
 	source io.Reader
 	// isActive reports that only left bytes may follow.
 	isActive bool
 	left     int
-	// isHead reports that the end of the head has not been read, which may have
-	// linesLeft further lines. isLineEmpty is set between two lines.
-	isHead, isLineEmpty bool
-	linesLeft           int
-	// excess is the error of the limit that was exceeded, or nil.
-	excess error
+	// isHead reports that the bytes are those of a head, which checker checks.
+	isHead  bool
+	checker head.Checker
+	// failure is the error of the limit that was exceeded, or of the head, or nil.
+	failure error
 }
 
 // begin allows a number of further bytes, and end any number.
@@ -106,36 +104,26 @@
 // beginHead allows one head, whose beginning was read before.
 func (l *readLimit) beginHead(beginning []byte) error {
 	l.begin(maxHeadBytes)
-	l.isHead, l.isLineEmpty, l.linesLeft = true, false, maxHeadLines
-	return l.countLines(beginning)
+	l.checker.MaxLines = maxHeadLines
+	l.checker.Begin()
+	l.isHead = true
+	return l.check(beginning)
 }
 
-// countLines counts lines up to the empty one that ends the head.
-func (l *readLimit) countLines(p []byte) error {
-	for _, b := range p {
-		switch {
-		case !l.isHead:
-			return nil
-		case b == '\n' && l.isLineEmpty:
-			l.isHead = false
-		case b == '\n':
-			l.isLineEmpty = true
-			if l.linesLeft--; l.linesLeft < 0 {
-				l.excess = errTooManyLines
-				return l.excess
-			}
-		case b != '\r':
-			l.isLineEmpty = false
-		}
+// check checks bytes up to the end of the head.
+func (l *readLimit) check(p []byte) error {
+	if !l.isHead {
+		return nil
 	}
-	return nil
+	_, l.failure = l.checker.Check(p)
+	return l.failure
 }
 
-// cause returns the error of the limit that was exceeded, or err: package http reports
-// the line that was cut by the limit as malformed.
+// cause returns what has failed here, or err: package http reports the line that was cut by
+// a limit as malformed, and repairs some heads that are invalid.
 func (l *readLimit) cause(err error) error {
-	if l.excess != nil {
-		return l.excess
+	if l.failure != nil {
+		return l.failure
 	}
 	return err
 }
@@ -145,25 +133,32 @@
 	if !l.isActive {
 		return l.source.Read(p)
 	}
-	if l.left == 0 {
-		l.excess = errTooManyBytes
-		return 0, l.excess
+	if l.left == 0 && l.failure == nil {
+		l.failure = errTooManyBytes
+	}
+	if l.failure != nil {
+		return 0, l.failure
 	}
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
-	if lineErr := l.countLines(p[:n]); lineErr != nil {
-		return n, lineErr
+	if headErr := l.check(p[:n]); headErr != nil {
+		return n, headErr
 	}
 	return n, err
 }
 
-// beginHead allows the bytes and the lines of one head.
-func (c *conn) beginHead() error {
+// readHead reads the head of a response, interim or not.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	beginning, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if err = c.limit.beginHead(beginning); err != nil {
+		return nil, err
 	}
-	return c.limit.beginHead(beginning)
+	response, err := http.ReadResponse(c.reader, request)
+	c.limit.end()
+	return response, c.limit.cause(err)
 }
 
 // isIdle reports whether the connection is open and has no bytes to read. Bytes
--- /dev/null
+++ b/relay/invalid_test.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/fake"
+)
+
+// headResponder responds to the request "first" with an empty success, which keeps the
+// connection, and to all others with a head. Then it keeps the connection open.
+type headResponder struct {
+	head fake.Head
+	// isClosed reports that the connection ends after the head and its body.
+	isClosed bool
+}
+
+func (r headResponder) respond(conn net.Conn, request *http.Request, _ []byte) {
+	if request.Header.Get(testID) == "first" {
+		respond(conn, http.StatusOK, "first", "")
+		return
+	}
+	_, _ = conn.Write(r.head.Encode(testID+": "+request.Header.Get(testID), testSigned+": yes"))
+	if r.isClosed {
+		_ = conn.Close()
+	}
+}
+
+// headCalls are requests whose responses have the heads of the table.
+var headCalls = []struct{ method, path, body string }{
+	{http.MethodGet, "/safe/x", ""},
+	{http.MethodHead, "/safe/x", ""},
+	{http.MethodPost, "/unsafe/x", "body"},
+	{http.MethodPost, "/upload/x", "body"},
+}
+
+// A head that isn't valid is no response: its caller gets 502 at once, which promises
+// nothing, whether the connection stays open or not, and nothing more is read from it.
+func TestInvalidHeadIsNoResponse(t *testing.T) {
+	t.Parallel()
+	for _, head := range fake.InvalidHeads() {
+		for _, isClosed := range []bool{false, true} {
+			t.Run(head.Name+map[bool]string{true: ", closed"}[isClosed], func(t *testing.T) {
+				t.Parallel()
+				target := startTarget(t, "a", headResponder{head: head, isClosed: isClosed}.respond)
+				h := newHarness(t, target)
+				for _, c := range headCalls {
+					for _, isKept := range []bool{false, true} {
+						if isKept {
+							h.call(t.Context(), http.MethodPost, "/unsafe/x", "", testID, "first")
+						}
+						got := h.call(t.Context(), c.method, c.path, c.body, testID, "id")
+						switch {
+						case got.err != nil || got.bodyErr != nil:
+							t.Errorf("%s %s, kept %t: %v, %v", c.method, c.path, isKept, got.err, got.bodyErr)
+						case got.status != http.StatusBadGateway:
+							t.Errorf("%s %s, kept %t: status %d with %q", c.method, c.path, isKept, got.status, got.body)
+						case got.header.Get("X-Outcome") != ferry.OutcomeUnknown.String():
+							t.Errorf("%s %s, kept %t: outcome %q", c.method, c.path, isKept, got.header.Get("X-Outcome"))
+						case got.took > 400*time.Millisecond:
+							t.Errorf("%s %s, kept %t: after %v", c.method, c.path, isKept, got.took)
+						}
+						if idle := h.pool.Idle(); idle != 0 {
+							t.Errorf("%s %s, kept %t: %d idle connections", c.method, c.path, isKept, idle)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// A valid head is a response, however unusual it is.
+func TestValidHeadIsResponse(t *testing.T) {
+	t.Parallel()
+	for _, head := range fake.ValidHeads() {
+		t.Run(head.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			target := startTarget(t, "a", headResponder{head: head, isClosed: true}.respond)
+			h := newHarness(t, target)
+			for _, c := range headCalls {
+				got := h.call(t.Context(), c.method, c.path, c.body, testID, "id")
+				is.NoErr(got.err)
+				is.NoErr(got.bodyErr)
+				is.Equal(got.status/100, 2)
+				if c.method != http.MethodHead {
+					is.Equal(got.body, fake.HeadBody)
+				}
+			}
+		})
+	}
+}
+
+// A request that may run more than once is sent to another target after an invalid head, one
+// that may not isn't.
+func TestInvalidHeadIsRetriedWhereSafe(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	head := fake.Head{Status: "HTTP/1.1 000 ", Lines: []string{"Content-Length: 0"}}
+	odd := startTarget(t, "a", headResponder{head: head}.respond)
+	sound := startTarget(t, "b", respondOK)
+	h := newHarness(t, odd, sound)
+	isRetried := false
+	for range 20 {
+		before := odd.requests.Load()
+		got := h.call(t.Context(), http.MethodGet, "/safe/x", "")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		isRetried = isRetried || odd.requests.Load() > before
+	}
+	is.True(isRetried)
+	for range 20 {
+		before := h.received()
+		got := h.call(t.Context(), http.MethodPost, "/unsafe/x", "b")
+		is.NoErr(got.err)
+		is.Equal(h.received()-before, 1)
+	}
+}
+
+// The same holds while the upload is written, buffered or streamed.
+func TestEarlyInvalidHeadIsNoResponse(t *testing.T) {
+	t.Parallel()
+	for _, head := range fake.InvalidHeads() {
+		t.Run(head.Name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := fake.EarlyTarget{Ending: fake.EndingHalfClosed, Respond: func(request *http.Request) []byte {
+				return head.Encode(testID+": "+request.Header.Get(testID), testSigned+": yes")
+			}}.Listen(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			target := startTarget(t, "a", respondOK)
+			target.target.Address = listener.Addr().(*net.TCPAddr).AddrPort()
+			h := newHarness(t, target)
+			for _, upload := range []int{bufferedUpload, streamedUpload} {
+				caller := h.startUpload(t, upload, false)
+				go func() { _ = caller.send(numberedBody(upload)) }()
+				response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+				if err == nil && response.StatusCode != http.StatusBadGateway {
+					t.Errorf("upload of %d: status %d", upload, response.StatusCode)
+				}
+				_ = caller.Close()
+			}
+		})
+	}
+}
+
+// An invalid head is counted, and the line of the attempt names its target and the fault, but
+// nothing of what was sent.
+func TestInvalidHeadIsLogged(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	log := &lockedBuffer{}
+	h := newLoggedHarness(t, slog.NewTextHandler(log, nil), startTarget(t, "a", func(conn net.Conn, _ *http.Request, _ []byte) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 000 SECRET\r\n\r\n")
+	}))
+	got := h.call(t.Context(), http.MethodPost, "/unsafe/x", "b", testID, "id-1")
+	is.Equal(got.status, http.StatusBadGateway)
+	lines := log.linesWith("msg=attempt request=id-1")
+	is.Equal(len(lines), 1)
+	for _, part := range []string{"target=a", "verdict=Reset", "outcome=Unknown", `error="the response has an invalid head: Status in line 1"`} {
+		is.True(strings.Contains(lines[0], part))
+	}
+	is.Equal(len(log.linesWith("SECRET")), 0)
+	is.Equal(h.metrics.GetOrCreateCounter(`ferry_invalid_heads_total{fault="Status"}`).Get(), uint64(1))
+}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -9,6 +9,7 @@
 
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/drain"
+	"monsoonferry.org/ferry/head"
 	"monsoonferry.org/ferry/room"
 	"monsoonferry.org/ferry/socket"
 )
@@ -41,12 +42,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_connections_total{reused="%t"}`, a.isReused)).Inc()
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_attempts_total{kind=%q,distance=%q,verdict=%q,outcome=%q}`,
 		kindLabel(route), distance, a.verdict, a.outcome)).Inc()
-	switch {
-	case errors.Is(a.err, errTooManyBytes):
+	if errors.Is(a.err, errTooManyBytes) {
 		m.countExcess("Bytes")
-	case errors.Is(a.err, errTooManyLines):
-		m.countExcess("Lines")
 	}
+	m.countInvalidHead(a.err)
 	m.countLost(a.err)
 	if a.verdict == ferry.VerdictGood {
 		m.set.GetOrCreateHistogram(fmt.Sprintf(`ferry_attempt_duration_seconds{kind=%q,distance=%q}`, kindLabel(route), distance)).
@@ -60,6 +59,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_target_excess_total{kind=%q}`, kind)).Inc()
 }
 
+// countInvalidHead counts a response whose head was invalid, and by what.
+func (m *Metrics) countInvalidHead(err error) {
+	invalid := (*head.Error)(nil)
+	if !errors.As(err, &invalid) {
+		return
+	}
+	if invalid.Fault == head.FaultLines {
+		m.countExcess("Lines")
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`ferry_invalid_heads_total{fault=%q}`, invalid.Fault)).Inc()
+}
+
 // countLost counts a response whose connection was lost where its body would have ended.
 func (m *Metrics) countLost(err error) {
 	if lost := (*socket.LostError)(nil); errors.As(err, &lost) {
