head, relay: a response with a blank in the name of a field is refused

Cause: package http accepts a blank in a name (its source names golang.org/issue/34540) and stores the field under a name that nobody looks up, so that the framing isn't found. It drops the line when the response is written.

Change: the checker refuses names that are no token and values with control bytes, following RFC 9112 section 5.1 and RFC 9110 section 5.5 (Name, Value), in every head, interim or not. Folded fields and lines that end with a line feed alone stay accepted, as TestResponseCutInHead wants; a fold without a field before it is refused.

Held already, with tests from here on: names with a control byte, a tab or no name, values with a control byte (package http refuses them), and callers' requests with such fields or with two framings, which get 400 or 501 before anything is sent (TestInvalidHeadOfCallerIsRefused).

--- a/fake/heads.go
+++ b/fake/heads.go
@@ -74,7 +74,7 @@
 // InvalidHeads returns responses that are none.
 func InvalidHeads() []Head {
 	var heads []Head
-	for _, group := range [][]Head{invalidStatuses(), invalidInterims()} {
+	for _, group := range [][]Head{invalidStatuses(), invalidNames(), invalidValues(), invalidInterims()} {
 		heads = append(heads, group...)
 	}
 	return heads
@@ -95,6 +95,33 @@
 	return append(heads, Head{Name: "status 000 without a body", Status: "HTTP/1.1 000 "})
 }
 
+// invalidNames returns responses with the name of a field that is none.
+func invalidNames() []Head {
+	var heads []Head
+	for _, line := range []string{
+		"X Y: v", "X-Y : v", "X-Y\t: v", ": v", "no colon", " X-Y: v", "X(Y): v", "X\x80Y: v",
+		"X\x00Y: v", "X\x01Y: v", "X\x1fY: v", "X\x7fY: v", "X\rY: v", "\rX: v",
+	} {
+		heads = append(heads, Head{Name: fmt.Sprintf("line %q", line), Status: statusOK, Lines: []string{line, headLength}, Body: HeadBody})
+	}
+	return append(heads,
+		Head{Name: "blank after Transfer-Encoding", Status: statusOK, Lines: []string{"Transfer-Encoding : chunked"}, Body: chunkedHeadBody},
+		Head{Name: "tab after Transfer-Encoding", Status: statusOK, Lines: []string{"Transfer-Encoding\t: chunked"}, Body: chunkedHeadBody},
+		Head{Name: "blank in Transfer-Encoding", Status: statusOK, Lines: []string{"Transfer Encoding: chunked"}, Body: chunkedHeadBody},
+		Head{Name: "blank after Content-Length", Status: statusOK, Lines: []string{"Content-Length : 30"}, Body: HeadBody[:3]},
+		Head{Name: "blank after the name, not a success", Status: "HTTP/1.1 404 Not Found", Lines: []string{"X-Y : v", headLength}, Body: HeadBody},
+	)
+}
+
+// invalidValues returns responses with the value of a field that is none.
+func invalidValues() []Head {
+	var heads []Head
+	for _, line := range []string{"X-Y: a\x00b", "X-Y: a\x01b", "X-Y: a\rb", "X-Y: a\x7fb", "X-Y: a\r", "X-Y: a\r\n \x01"} {
+		heads = append(heads, Head{Name: fmt.Sprintf("line %q", line), Status: statusOK, Lines: []string{line, headLength}, Body: HeadBody})
+	}
+	return heads
+}
+
 // invalidInterims returns responses that follow what is no interim response.
 func invalidInterims() []Head {
 	var heads []Head
@@ -103,6 +130,9 @@
 		"HTTP/1.1 000 \r\nContent-Length: 66\r\n\r\n",
 		"HTTP/1.1 099 No\r\n\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nX Y: v\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nX-Y : v\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nX\x01Y: v\r\n\r\n",
 		"\r\n",
 		"\n\n",
 	} {
--- a/head/check.go
+++ b/head/check.go
@@ -83,8 +83,11 @@
 		return FaultLines
 	case c.lines == 1:
 		return c.checkStatusLine(line)
+	case isBlank(line[0]):
+		return c.checkFold(line)
+	default:
+		return c.checkField(line)
 	}
-	return FaultNone
 }
 
 // checkStatusLine checks the first line, following RFC 9112 section 4.
@@ -109,6 +112,29 @@
 	return FaultNone
 }
 
+// checkFold checks a line that continues the field before it, following RFC 9112 section 5.2.
+func (c *Checker) checkFold(line []byte) Fault {
+	switch {
+	case c.lines == 2:
+		return FaultName
+	case !isText(line):
+		return FaultValue
+	}
+	return FaultNone
+}
+
+// checkField checks a field line, following RFC 9112 section 5.1 and RFC 9110 section 5.5.
+func (c *Checker) checkField(line []byte) Fault {
+	name, value, found := bytes.Cut(line, []byte{':'})
+	switch {
+	case !found || !isToken(name):
+		return FaultName
+	case !isText(value):
+		return FaultValue
+	}
+	return FaultNone
+}
+
 // isNumber reports whether a text consists of digits.
 func isNumber(text []byte) bool {
 	for _, b := range text {
@@ -121,6 +147,8 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
+func isBlank(b byte) bool { return b == ' ' || b == '\t' }
+
 // isText reports whether bytes hold no control byte but tabs.
 func isText(text []byte) bool {
 	for _, b := range text {
@@ -130,3 +158,22 @@
 	}
 	return true
 }
+
+// isToken reports whether bytes are a token, following RFC 9110 section 5.6.2.
+func isToken(name []byte) bool {
+	for _, b := range name {
+		if !tokenBytes[b] {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+// tokenBytes holds the bytes of a token.
+var tokenBytes = func() (isTokenByte [256]bool) {
+	const letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789" + letters) {
+		isTokenByte[b] = true
+	}
+	return isTokenByte
+}()
--- a/head/check_test.go
+++ b/head/check_test.go
@@ -63,6 +63,10 @@
 		{"HTTP/2.0 200 SECRET\r\n", FaultVersion, 1},
 		{"HTTP/1.1 000 SECRET\r\n", FaultStatus, 1},
 		{"HTTP/1.1 101 SECRET\r\n", FaultUpgrade, 1},
+		{status + "A: b\r\nSECRET : x\r\n", FaultName, 3},
+		{status + " SECRET: x\r\n", FaultName, 2},
+		{status + "A: SECRET\x00\r\n", FaultValue, 2},
+		{status + "A: b\r\n SECRET\x00\r\n", FaultValue, 3},
 		{status + "A: b\r\nC: d\r\nE: f\r\nSECRET: x\r\n", FaultLines, 5},
 	} {
 		is := is.New(t)
--- a/head/doc.go
+++ b/head/doc.go
@@ -3,16 +3,21 @@
 // # Concept
 //
 // Package http repairs what it reads. It takes any three characters that are a number for a
-// status. A target in trouble that sends such a head gets its response believed.
+// status and keeps a blank in the name of a field, so that the field isn't found under its name.
+// A target in trouble that sends such a head gets its response
+// believed, with a body that isn't its own.
 //
 // A Checker reads the same bytes before package http does, and refuses a head by RFC 9112
-// section 4 and RFC 9110 section 15. Each thing that it refuses is a Fault. A
+// sections 4 and 5 and RFC 9110 sections 5 and 15. Each thing that it refuses is a Fault. A
 // head is valid only when its last line has been checked, and package http returns no response
 // before it has read that line, so no byte has to be held back.
 //
 // A head with a Fault is no response. Whatever follows on its connection belongs to nobody:
 // the connection has to be closed, and nothing is known about the execution of the request.
 //
+// Accepted are lines that end with a line feed alone and folded fields, which no reader can
+// take for something else.
+//
 // # Usage
 //
 //	checker.Begin()
--- a/head/fault.go
+++ b/head/fault.go
@@ -16,13 +16,17 @@
 	FaultStatus
 	// FaultUpgrade means that the target has changed the protocol, which nobody has asked for.
 	FaultUpgrade
+	// FaultName means that the name of a field is no token, or that a line has no name.
+	FaultName
+	// FaultValue means that the value of a field holds a control byte.
+	FaultValue
 	// FaultLines means that the head has too many lines.
 	FaultLines
 )
 
 // String returns the name of the fault as it appears in logs and metrics.
 func (f Fault) String() string {
-	names := [...]string{"None", "Version", "Status", "Upgrade", "Lines"}
+	names := [...]string{"None", "Version", "Status", "Upgrade", "Name", "Value", "Lines"}
 	if f < 0 || int(f) >= len(names) {
 		return "Invalid"
 	}
--- a/relay/invalid_test.go
+++ b/relay/invalid_test.go
@@ -162,15 +162,44 @@
 	is := is.New(t)
 	log := &lockedBuffer{}
 	h := newLoggedHarness(t, slog.NewTextHandler(log, nil), startTarget(t, "a", func(conn net.Conn, _ *http.Request, _ []byte) {
-		_, _ = io.WriteString(conn, "HTTP/1.1 000 SECRET\r\n\r\n")
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Y: v\r\nSECRET : v\r\n\r\n")
 	}))
 	got := h.call(t.Context(), http.MethodPost, "/unsafe/x", "b", testID, "id-1")
 	is.Equal(got.status, http.StatusBadGateway)
 	lines := log.linesWith("msg=attempt request=id-1")
 	is.Equal(len(lines), 1)
-	for _, part := range []string{"target=a", "verdict=Reset", "outcome=Unknown", `error="the response has an invalid head: Status in line 1"`} {
+	for _, part := range []string{"target=a", "verdict=Reset", "outcome=Unknown", `error="the response has an invalid head: Name in line 3"`} {
 		is.True(strings.Contains(lines[0], part))
 	}
 	is.Equal(len(log.linesWith("SECRET")), 0)
-	is.Equal(h.metrics.GetOrCreateCounter(`ferry_invalid_heads_total{fault="Status"}`).Get(), uint64(1))
+	is.Equal(h.metrics.GetOrCreateCounter(`ferry_invalid_heads_total{fault="Name"}`).Get(), uint64(1))
+}
+
+// A caller's request with such a field is refused before anything is sent.
+func TestInvalidHeadOfCallerIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, lines := range []string{
+		"X Y: v\r\nContent-Length: 4", "X-Y : v\r\nContent-Length: 4", "X\x01Y: v\r\nContent-Length: 4", "X-Y: a\x00b\r\nContent-Length: 4", "X-Y: a\rb\r\nContent-Length: 4",
+		"Content-Length : 4", "Transfer-Encoding : chunked", "Transfer Encoding: chunked\r\nContent-Length: 4",
+		"Content-Length: 4\r\nContent-Length: 3", "Content-Length: 4, 3", "Content-Length: +4", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity",
+	} {
+		t.Run(lines, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, startTarget(t, "a", respondOK))
+			conn, err := net.Dial("tcp4", h.httpServer.Listener.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+			_, err = io.WriteString(conn, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\n"+testID+": id\r\n"+lines+"\r\n\r\nbody")
+			is.NoErr(err)
+			received, err := io.ReadAll(conn)
+			is.NoErr(err)
+			const refusedPrefix = "HTTP/1.1 400 "
+			if string(received[:min(len(received), len(refusedPrefix))]) != refusedPrefix && string(received[:min(len(received), 13)]) != "HTTP/1.1 501 " {
+				t.Errorf("the caller got %q", received)
+			}
+			is.Equal(h.received(), 0)
+		})
+	}
 }
