head, relay: a response that states the end of its body in two ways is refused

What callers saw: a response of HTTP/1.0 with a chunked coding gave a complete 200 whose body is the chunk framing (504 where the connection stayed open). A length beside chunks, whichever came first, and a length or a coding on a folded line gave a complete 200 by one of the two readings. An interim response that states a body was read over, and what followed, perhaps that body, was taken for the response.

A stricter reader of the same bytes finds another end.

Change: FaultFraming, following RFC 9112 sections 6.1 and 6.3 ("ought to be handled as an error"). Equal lengths stated twice stay accepted, as before, and so does a length of 0 in an interim response.

Held already: lengths that differ or are no number, and any coding but chunked.

--- a/fake/heads.go
+++ b/fake/heads.go
@@ -74,7 +74,7 @@
 // InvalidHeads returns responses that are none.
 func InvalidHeads() []Head {
 	var heads []Head
-	for _, group := range [][]Head{invalidStatuses(), invalidNames(), invalidValues(), invalidInterims()} {
+	for _, group := range [][]Head{invalidStatuses(), invalidNames(), invalidValues(), invalidFramings(), invalidInterims()} {
 		heads = append(heads, group...)
 	}
 	return heads
@@ -122,6 +122,44 @@
 	return heads
 }
 
+// invalidFramings returns responses that state the end of their body in two ways, or in one
+// that readers understand differently.
+func invalidFramings() []Head {
+	const chunked = "Transfer-Encoding: chunked"
+	var heads []Head
+	for _, lines := range [][]string{
+		{headLength, "Content-Length: 3"},
+		{"Content-Length: 3", headLength},
+		{"Content-Length: 30, 3"},
+		{"Content-Length: 3", " 0"},
+		{"Content-Length:", " 30"},
+		{"Content-Length: +30"},
+		{"Content-Length: -1"},
+		{"Content-Length: 0x1e"},
+		{"Content-Length: 3 0"},
+		{"Content-Length:"},
+		{"Content-Length: 99999999999999999999"},
+	} {
+		heads = append(heads, Head{Name: strings.Join(lines, "|"), Status: statusOK, Lines: lines, Body: HeadBody})
+	}
+	for _, lines := range [][]string{
+		{headLength, chunked},
+		{chunked, headLength},
+		{chunked, "Content-Length: 45"},
+		{chunked, chunked},
+		{"Transfer-Encoding: gzip, chunked"},
+		{"Transfer-Encoding: chunked, chunked"},
+		{"Transfer-Encoding: identity"},
+		{"Transfer-Encoding: xchunked"},
+		{"Transfer-Encoding:"},
+		{"Transfer-Encoding:", " chunked"},
+		{chunked, " "},
+	} {
+		heads = append(heads, Head{Name: strings.Join(lines, "|"), Status: statusOK, Lines: lines, Body: chunkedHeadBody})
+	}
+	return append(heads, Head{Name: "HTTP/1.0 with chunks", Status: "HTTP/1.0 200 OK", Lines: []string{chunked}, Body: chunkedHeadBody})
+}
+
 // invalidInterims returns responses that follow what is no interim response.
 func invalidInterims() []Head {
 	var heads []Head
@@ -129,6 +167,8 @@
 		// The response that follows may be the body of what comes before.
 		"HTTP/1.1 000 \r\nContent-Length: 66\r\n\r\n",
 		"HTTP/1.1 099 No\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nContent-Length: 66\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nX Y: v\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nX-Y : v\r\n\r\n",
--- a/head/check.go
+++ b/head/check.go
@@ -11,6 +11,8 @@
 	statusEnd   = len("HTTP/1.1 200")
 	// maxStatus is the largest status, following RFC 9110 section 15.
 	maxStatus = 599
+	// maxLengthDigits bounds the digits of a length, which is an int64.
+	maxLengthDigits = 18
 )
 
 // Checker checks one head after another. The zero Checker is ready to check one that may have
@@ -24,6 +26,15 @@
 	lines   int
 	status  int
 	isDone  bool
+	// isChunkable reports that the version of the response has the chunked coding.
+	isChunkable bool
+	// length holds the digits of the first Content-Length, digits their number, or zero.
+	length [maxLengthDigits]byte
+	digits int
+	// isChunked reports that the body has the chunked coding.
+	isChunked bool
+	// isFramed reports that the last field states the end of the body.
+	isFramed bool
 }
 
 // Begin expects the beginning of another head.
@@ -96,6 +107,7 @@
 	if len(line) < statusStart || string(line[:minor]) != "HTTP/1." || !isDigit(line[minor]) || line[minor+1] != ' ' {
 		return FaultVersion
 	}
+	c.isChunkable = line[minor] != '0'
 	if len(line) < statusEnd || !isNumber(line[statusStart:statusEnd]) {
 		return FaultStatus
 	}
@@ -117,6 +129,8 @@
 	switch {
 	case c.lines == 2:
 		return FaultName
+	case c.isFramed:
+		return FaultFraming
 	case !isText(line):
 		return FaultValue
 	}
@@ -131,10 +145,33 @@
 		return FaultName
 	case !isText(value):
 		return FaultValue
+	case !c.checkFraming(name, bytes.Trim(value, " \t")):
+		return FaultFraming
 	}
 	return FaultNone
 }
 
+// checkFraming reports whether a field leaves one way to find the end of the body, following
+// RFC 9112 sections 6.1 and 6.3. An interim response has no body.
+func (c *Checker) checkFraming(name, value []byte) bool {
+	isLength, isCoding := isName(name, "Content-Length"), isName(name, "Transfer-Encoding")
+	c.isFramed = isLength || isCoding
+	isInterim := c.status < http.StatusOK
+	switch {
+	case isCoding:
+		isFirst := c.digits == 0 && !c.isChunked
+		c.isChunked = true
+		return isFirst && c.isChunkable && !isInterim && isName(value, "chunked")
+	case isLength && c.digits > 0:
+		return bytes.Equal(c.length[:c.digits], value)
+	case isLength:
+		c.digits = copy(c.length[:], value)
+		isEmpty := len(bytes.Trim(value, "0")) == 0
+		return isNumber(value) && len(value) <= maxLengthDigits && !c.isChunked && (isEmpty || !isInterim)
+	}
+	return true
+}
+
 // isNumber reports whether a text consists of digits.
 func isNumber(text []byte) bool {
 	for _, b := range text {
@@ -145,6 +182,11 @@
 	return len(text) > 0
 }
 
+// isName reports whether two names are equal but for their case.
+func isName(name []byte, wanted string) bool {
+	return len(name) == len(wanted) && bytes.EqualFold(name, []byte(wanted))
+}
+
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
 func isBlank(b byte) bool { return b == ' ' || b == '\t' }
--- a/head/check_test.go
+++ b/head/check_test.go
@@ -67,6 +67,8 @@
 		{status + " SECRET: x\r\n", FaultName, 2},
 		{status + "A: SECRET\x00\r\n", FaultValue, 2},
 		{status + "A: b\r\n SECRET\x00\r\n", FaultValue, 3},
+		{status + "Content-Length: 1\r\nContent-Length: 2\r\n", FaultFraming, 3},
+		{status + "Content-Length: 1\r\n 2\r\n", FaultFraming, 3},
 		{status + "A: b\r\nC: d\r\nE: f\r\nSECRET: x\r\n", FaultLines, 5},
 	} {
 		is := is.New(t)
--- a/head/fault.go
+++ b/head/fault.go
@@ -20,13 +20,16 @@
 	FaultName
 	// FaultValue means that the value of a field holds a control byte.
 	FaultValue
+	// FaultFraming means that the end of the body is stated in more than one way, or in a way
+	// that readers understand differently.
+	FaultFraming
 	// FaultLines means that the head has too many lines.
 	FaultLines
 )
 
 // String returns the name of the fault as it appears in logs and metrics.
 func (f Fault) String() string {
-	names := [...]string{"None", "Version", "Status", "Upgrade", "Name", "Value", "Lines"}
+	names := [...]string{"None", "Version", "Status", "Upgrade", "Name", "Value", "Framing", "Lines"}
 	if f < 0 || int(f) >= len(names) {
 		return "Invalid"
 	}
