head, relay: a body whose trailer has a blank in the name of a field is not whole

What callers saw: `X Y: v` or `X-Y : v` behind the last chunk gave a complete 200, and the connection was kept for further requests, though a control byte in the same place already counts as a cut body.

Cause: package http reads trailers as it reads heads. It leaves them in Response.Trailer, where no reader looked.

Change: head.CheckTrailer makes the body end with an Error in place of io.EOF. A buffered response becomes 502 with an unknown outcome; a streamed one ends without its last chunk. The connection is closed.

--- a/head/fault.go
+++ b/head/fault.go
@@ -36,14 +36,17 @@
 	return names[f]
 }
 
-// Error reports an invalid head. It holds nothing of what was sent.
+// Error reports an invalid head or trailer. It holds nothing of what was sent.
 type Error struct {
 	Fault Fault
-	// Line is the number of the line that was refused, from 1.
+	// Line is the number of the line that was refused, from 1, or 0 outside a head.
 	Line int
 }
 
 // Error implements error.
 func (e *Error) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("the response is invalid: %s", e.Fault)
+	}
 	return fmt.Sprintf("the response has an invalid head: %s in line %d", e.Fault, e.Line)
 }
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -158,7 +158,11 @@
 	}
 	response, err := http.ReadResponse(c.reader, request)
 	c.limit.end()
-	return response, c.limit.cause(err)
+	if err = c.limit.cause(err); err != nil {
+		return nil, err
+	}
+	head.CheckTrailer(response)
+	return response, nil
 }
 
 // isIdle reports whether the connection is open and has no bytes to read. Bytes
--- a/relay/invalid_test.go
+++ b/relay/invalid_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -155,6 +157,33 @@
 	}
 }
 
+// A body whose trailer has an invalid name is not whole: its caller gets 502 or, after the
+// first byte, no last chunk.
+func TestInvalidTrailerIsNoEndOfBody(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{bufferedAnswer, streamedAnswer} {
+		for line, isValid := range map[string]bool{"X-Sum: 1\r\n": true, "X Sum: 1\r\n": false, "X-Sum : 1\r\n": false, "X\x01Sum: 1\r\n": false} {
+			t.Run(fmt.Sprintf("%d %q", size, line), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				h := newHarness(t, startTarget(t, "a", func(conn net.Conn, request *http.Request, _ []byte) {
+					encoded := framedByChunks.encode(request.Header.Get(testID), numberedBody(size))
+					_, _ = conn.Write(append(bytes.TrimSuffix(encoded, []byte("\r\n")), line+"\r\n"...))
+				}))
+				got := h.call(t.Context(), http.MethodPost, "/unsafe/x", "body")
+				is.Equal(got.isWhole(), isValid)
+				if size == bufferedAnswer && !isValid {
+					is.NoErr(got.err)
+					is.Equal(got.status, http.StatusBadGateway)
+				}
+				if !isValid {
+					is.Equal(h.pool.Idle(), 0)
+				}
+			})
+		}
+	}
+}
+
 // An invalid head is counted, and the line of the attempt names its target and the fault, but
 // nothing of what was sent.
 func TestInvalidHeadIsLogged(t *testing.T) {
--- a/relay/response.go
+++ b/relay/response.go
@@ -67,6 +67,7 @@
 	_, err := io.CopyBuffer(writer, a.response.rest, (*copied)[:chunkSize])
 	hasStopped := stop()
 	f.metrics.countLost(err)
+	f.metrics.countInvalidHead(err)
 	a.response.release(err == nil && hasStopped)
 	return trace.Wrap(err, "answer")
 }
