head, proxy: the old stack refuses responses with invalid heads

What callers of the old stack saw: a status of 000, 001, 099 or +20 ended their connection without a response (WriteHeader panics); 101 was passed on, and its caller waited; blanks before the colon gave complete 200s of the chunk framing, or of 3 bytes of 30, or without the line; 600 and 999 were passed on.

Cause: the same as in relay. Here http.Transport reads the heads, and nobody looks at their bytes.

Change: head.Transport checks the bytes that http.Transport reads from a connection, from the moment at which a request gets it, through interim responses to the end of the final head. It delivers no line that isn't valid, so that http.Transport can't find the end of such a head, and at least one byte of the response, so that it doesn't send a request without a body once more. The attempt ends with an unknown outcome and the evidence of a reset; requests that may run more than once are tried elsewhere. The line `response head invalid` names request, target, fault and line, ferry_invalid_heads_total counts.

--- a/head/doc.go
+++ b/head/doc.go
@@ -21,6 +21,15 @@
 //
 // # Usage
 //
+// A reader with connections of its own checks what it takes from them:
+//
 //	checker.Begin()
 //	n, err := checker.Check(p)
+//
+// Others use a Transport in place of an http.Transport:
+//
+//	client := &http.Client{Transport: head.NewTransport(&http.Transport{})}
+//	_, err := client.Do(request)
+//	var invalid *head.Error
+//	if errors.As(err, &invalid) { ... }
 package head
--- /dev/null
+++ b/head/transport_test.go
@@ -0,0 +1,169 @@
+package head
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"monsoonferry.org/ferry/fake"
+)
+
+// testServer is a server of fake.Responder that counts.
+type testServer struct {
+	url string
+	// requests counts the requests that were read.
+	requests atomic.Int32
+
+	mu    sync.Mutex
+	conns map[string]bool
+}
+
+// startServer starts a server that answers requests with bytes.
+func startServer(t *testing.T, respond func(request *http.Request) []byte) *testServer {
+	t.Helper()
+	s := &testServer{conns: map[string]bool{}}
+	address, err := fake.Responder(func(request *http.Request) ([]byte, bool) {
+		s.requests.Add(1)
+		s.mu.Lock()
+		s.conns[request.RemoteAddr] = true
+		s.mu.Unlock()
+		return respond(request), false
+	}).Listen(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.url = "http://" + address.String()
+	return s
+}
+
+// dials returns the number of connections that carried a request.
+func (s *testServer) dials() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// get sends a request without a body, which http.Transport may send again.
+func get(t *testing.T, transport http.RoundTripper, method, url string) (status int, body string, err error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(text), err
+}
+
+// An invalid head is an Error, on a new connection and on one that is kept, and the request
+// isn't sent again.
+func TestTransportRefusesInvalidHeads(t *testing.T) {
+	t.Parallel()
+	for _, invalid := range fake.InvalidHeads() {
+		for _, isKept := range []bool{false, true} {
+			t.Run(fmt.Sprint(invalid.Name, ", kept ", isKept), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				server := startServer(t, func(request *http.Request) []byte {
+					if request.URL.Path == "/first" {
+						return []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+					return invalid.Encode()
+				})
+				transport := NewTransport(&http.Transport{})
+				defer transport.CloseIdleConnections()
+				for _, method := range []string{http.MethodGet, http.MethodHead} {
+					if isKept {
+						_, _, err := get(t, transport, method, server.url+"/first")
+						is.NoErr(err)
+					}
+					before := server.requests.Load()
+					status, body, err := get(t, transport, method, server.url)
+					var headErr *Error
+					if !errors.As(err, &headErr) {
+						t.Errorf("%s: %d with %q, %v", method, status, body, err)
+					}
+					is.Equal(server.requests.Load()-before, int32(1))
+				}
+			})
+		}
+	}
+}
+
+// A valid head is a response, and its connection is kept.
+func TestTransportKeepsConnections(t *testing.T) {
+	t.Parallel()
+	for _, valid := range fake.ValidHeads() {
+		if valid.Name == "no length" {
+			continue
+		}
+		t.Run(valid.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server := startServer(t, func(*http.Request) []byte { return valid.Encode("Connection: keep-alive") })
+			transport := NewTransport(&http.Transport{})
+			defer transport.CloseIdleConnections()
+			for range 3 {
+				status, body, err := get(t, transport, http.MethodGet, server.url)
+				is.NoErr(err)
+				is.Equal(status/100, 2)
+				is.Equal(body, fake.HeadBody)
+			}
+			is.Equal(server.dials(), 1)
+		})
+	}
+}
+
+// A body whose trailer has a blank in the name of a field does not end as a whole one.
+func TestInvalidTrailerIsNoEndOfBody(t *testing.T) {
+	t.Parallel()
+	for line, isValid := range map[string]bool{"X-Sum: 1\r\n": true, "": true, "X Sum: 1\r\n": false, "X-Sum : 1\r\n": false, "X\x01Sum: 1\r\n": false, ": 1\r\n": false} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server := startServer(t, func(*http.Request) []byte {
+				return []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n")
+			})
+			transport := NewTransport(&http.Transport{})
+			defer transport.CloseIdleConnections()
+			_, body, err := get(t, transport, http.MethodGet, server.url)
+			is.Equal(err == nil, isValid)
+			is.Equal(body, "body")
+		})
+	}
+}
+
+// Requests over a Transport, many at a time, each get their own response.
+func TestTransportServesManyRequests(t *testing.T) {
+	t.Parallel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		_, _ = io.WriteString(w, r.URL.Path)
+	}))
+	t.Cleanup(server.Close)
+	transport := NewTransport(&http.Transport{MaxIdleConnsPerHost: 4})
+	t.Cleanup(transport.CloseIdleConnections)
+	for worker := range 8 {
+		t.Run(fmt.Sprint(worker), func(t *testing.T) {
+			t.Parallel()
+			for i := range 100 {
+				path := fmt.Sprintf("/%d/%d", worker, i)
+				status, body, err := get(t, transport, http.MethodGet, server.URL+path)
+				if err != nil || status != http.StatusOK || body != path {
+					t.Fatalf("%s: %d with %q, %v", path, status, body, err)
+				}
+			}
+		})
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -14,6 +14,7 @@
 
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/drain"
+	"monsoonferry.org/ferry/head"
 )
 
 // attempt is one request to one target, up to the head of its response.
@@ -26,6 +27,8 @@
 	grace        *drain.Grace
 	// disbelieved is called for a response that is not of this attempt.
 	disbelieved func(why string, status int)
+	// invalid is called for a response with an invalid head.
+	invalid func(err *head.Error)
 
 	cancel        context.CancelCauseFunc
 	conn          atomic.Pointer[countedConn]
@@ -53,6 +56,11 @@
 	var err error
 	if response, err = transport.RoundTrip(request); err != nil {
 		result = a.classifyError(attemptCtx, err)
+		if headErr := (*head.Error)(nil); errors.As(err, &headErr) {
+			a.invalid(headErr)
+			// The bytes of the request may be on their way, though they are not counted yet.
+			result.Verdict, result.Outcome = ferry.VerdictReset, ferry.OutcomeUnknown
+		}
 		a.cancel(nil)
 		return nil, result
 	}
@@ -97,7 +105,7 @@
 func (a *attempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*countedConn); ok {
+			if conn, ok := countedConnOf(info.Conn); ok {
 				a.writtenBefore = conn.written.Load()
 				a.conn.Store(conn)
 				a.isReused.Store(info.Reused)
--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -32,7 +32,7 @@
 				is.NoErr(err)
 				t.Cleanup(func() { _ = listener.Close() })
 				go serveCut(listener, head+body, isReset)
-				transport := newTransport()
+				transport := newTransport(maxIdlePerTarget)
 				defer transport.CloseIdleConnections()
 				for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost} {
 					for cut := range len(head) + 1 {
--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"monsoonferry.org/ferry/head"
 	"monsoonferry.org/ferry/socket"
 )
 
@@ -15,6 +16,7 @@
 	dialTimeout            = time.Second
 	idleTimeout            = 90 * time.Second
 	maxIdlePerTarget       = 8
+	noIdle                 = -1
 	maxResponseHeaderBytes = 64 << 10
 	transportBufferBytes   = 16 << 10
 )
@@ -32,11 +34,21 @@
 	return n, err
 }
 
-// newTransport returns the HTTP transport for requests to targets. It never
-// retries a request by itself, because it cannot rewind the request's body.
-func newTransport() *http.Transport {
+// countedConnOf returns the counted connection below one of the transport.
+func countedConnOf(connection net.Conn) (counted *countedConn, ok bool) {
+	if checked, isChecked := connection.(*head.Conn); isChecked {
+		connection = checked.NetConn()
+	}
+	counted, ok = connection.(*countedConn)
+	return counted, ok
+}
+
+// newTransport returns the HTTP transport for requests to targets, which keeps a number of
+// idle connections to each target. It never retries a request by itself, because it cannot
+// rewind the request's body.
+func newTransport(maxIdle int) *head.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return head.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			var conn net.Conn
 			var err error
@@ -46,10 +58,10 @@
 			return &countedConn{Conn: socket.New(conn)}, nil
 		},
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerTarget,
+		MaxIdleConnsPerHost:    maxIdle,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		WriteBufferSize:        transportBufferBytes,
 		ReadBufferSize:         transportBufferBytes,
-	}
+	})
 }
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -11,6 +11,7 @@
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/auth"
 	"monsoonferry.org/ferry/drain"
+	"monsoonferry.org/ferry/head"
 	"monsoonferry.org/ferry/retry"
 	"monsoonferry.org/ferry/timing"
 )
@@ -53,10 +54,8 @@
 
 // NewForwarder returns a Forwarder with its own connections to targets.
 func NewForwarder(config Config) *Forwarder {
-	resend := newTransport()
-	resend.MaxIdleConnsPerHost = -1
 	return &Forwarder{
-		config: config, transport: newTransport(), resend: resend, stopLog: newStopLog(config.Log, config.Metrics),
+		config: config, transport: newTransport(maxIdlePerTarget), resend: newTransport(noIdle), stopLog: newStopLog(config.Log, config.Metrics),
 	}
 }
 
@@ -151,6 +150,7 @@
 		exchange: s.exchange, pick: pick, stallTimeout: s.service.Rules.StallAfter, body: s.body.nextAttempt(),
 		clock: f.config.Clock, grace: f.config.Grace,
 		disbelieved: func(why string, status int) { f.logDisbelieved(s, pick, why, status) },
+		invalid:     func(err *head.Error) { f.logInvalid(s, pick, err) },
 	}
 	transport := f.transport
 	if number > 1 {
@@ -331,6 +331,13 @@
 		slog.String("target", string(pick.Target.ID)), slog.String("why", why), slog.Int("status", status))
 }
 
+// logInvalid logs and counts a response with an invalid head, without what was sent.
+func (f *Forwarder) logInvalid(s *requestState, pick ferry.Pick, err *head.Error) {
+	f.config.Metrics.countInvalidHead(err.Fault)
+	f.config.Log.Info("response head invalid", slog.String("request", s.exchange.ID),
+		slog.String("target", string(pick.Target.ID)), slog.String("fault", err.Fault.String()), slog.Int("line", err.Line))
+}
+
 // logAttempt logs the routing decision of an attempt and counts the attempt.
 func (f *Forwarder) logAttempt(s *requestState, pick ferry.Pick, number int, result ferry.Result) {
 	var account ferry.AccountID
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -7,6 +7,7 @@
 
 	"monsoonferry.org/ferry"
 	"monsoonferry.org/ferry/drain"
+	"monsoonferry.org/ferry/head"
 )
 
 // Metrics counts the requests, attempts, refusals and truncated responses.
@@ -42,6 +43,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("ferry_responses_not_believed_total{why=%q}", why)).Inc()
 }
 
+// countInvalidHead counts a response whose head was invalid, and by what.
+func (m *Metrics) countInvalidHead(fault head.Fault) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("ferry_invalid_heads_total{fault=%q}", fault)).Inc()
+}
+
 func (m *Metrics) countRefusal(refusal *ferry.RefusalError) {
 	name := fmt.Sprintf("ferry_refusals_total{reason=%q,outcome=%q}", refusal.Reason, refusal.Outcome)
 	m.set.GetOrCreateCounter(name).Inc()
--- a/proxy/reset_test.go
+++ b/proxy/reset_test.go
@@ -27,7 +27,7 @@
 				return append([]byte("HTTP/1.1 200 OK\r\n\r\n"), make([]byte, response/2)...)
 			}}.Listen(t.Context())
 			is.NoErr(err)
-			transport := newTransport()
+			transport := newTransport(maxIdlePerTarget)
 			defer transport.CloseIdleConnections()
 			for range calls {
 				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+listener.Addr().String(), bytes.NewReader(make([]byte, upload)))
