head: a response that came before its request is none

What a reader behind http.Transport saw: a server sends further bytes behind a complete response, and a request that waits for that connection gets them for its response.

Cause: http.Transport hands a connection to the next waiting request before it looks at what is left in its buffer, and takes that for the response if the request is registered by then.

Change: head.Transport returns a response only if its own check has seen a head of that status since the request got the connection. Otherwise the connection is closed (FaultUnasked), and the outcome is unknown.

--- a/head/fault.go
+++ b/head/fault.go
@@ -25,11 +25,13 @@
 	FaultFraming
 	// FaultLines means that the head has too many lines.
 	FaultLines
+	// FaultUnasked means that a response came before its request was sent.
+	FaultUnasked
 )
 
 // String returns the name of the fault as it appears in logs and metrics.
 func (f Fault) String() string {
-	names := [...]string{"None", "Version", "Status", "Upgrade", "Name", "Value", "Framing", "Lines"}
+	names := [...]string{"None", "Version", "Status", "Upgrade", "Name", "Value", "Framing", "Lines", "Unasked"}
 	if f < 0 || int(f) >= len(names) {
 		return "Invalid"
 	}
--- a/head/transport.go
+++ b/head/transport.go
@@ -48,14 +48,24 @@
 	if connection == nil {
 		return response, err
 	}
-	if invalid := connection.invalidHead(); invalid != nil {
-		return nil, invalid
+	status, invalid := connection.checked()
+	switch {
+	case invalid != nil:
+		err = invalid
+	case err == nil && status != response.StatusCode:
+		// Package http has read it from bytes that came before the request was sent.
+		err = &Error{Fault: FaultUnasked}
 	}
 	if err == nil {
 		response.Request = request
 		CheckTrailer(response)
+		return response, nil
 	}
-	return response, err
+	if response != nil {
+		_ = connection.Close()
+		_ = response.Body.Close()
+	}
+	return nil, err
 }
 
 // CloseIdleConnections closes the connections that carry no request.
@@ -70,6 +80,8 @@
 	// isExpected reports that the head of a response is due, or of one after an interim
 	// response.
 	isExpected bool
+	// status is the status of the last response that was checked.
+	status int
 	// invalid is the error of an invalid head, or nil.
 	invalid error
 }
@@ -82,19 +94,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checker.Begin()
-	c.isExpected = true
+	c.isExpected, c.status = true, 0
 }
 
-// invalidHead returns the error of an invalid head, or nil.
-func (c *Conn) invalidHead() error {
+// checked returns the status of the response to the last request, or zero if its head was
+// not read, and the error of an invalid head.
+func (c *Conn) checked() (status int, invalid error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.invalid
+	return c.status, c.invalid
 }
 
 // Read implements net.Conn. It fails before the end of an invalid head was read.
 func (c *Conn) Read(p []byte) (int, error) {
-	if invalid := c.invalidHead(); invalid != nil {
+	if _, invalid := c.checked(); invalid != nil {
 		return 0, invalid
 	}
 	n, err := c.Conn.Read(p)
@@ -121,7 +134,7 @@
 		case c.checker.Status() < http.StatusOK:
 			c.checker.Begin()
 		default:
-			c.isExpected = false
+			c.isExpected, c.status = false, c.checker.Status()
 		}
 	}
 	return len(p), nil
--- a/head/transport_test.go
+++ b/head/transport_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -125,6 +127,46 @@
 	}
 }
 
+// Bytes that follow a response belong to no request: one that waits for the same connection
+// doesn't get them for its response, valid or not.
+func TestResponseBeforeItsRequestIsNone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	// Package http logs each of these responses.
+	log.SetOutput(io.Discard)
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	server := startServer(t, func(request *http.Request) []byte {
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
+		return []byte(response + response)
+	})
+	transport := NewTransport(&http.Transport{MaxConnsPerHost: 1})
+	defer transport.CloseIdleConnections()
+	const workers, requests = 16, 500
+	var right, wrong, unasked atomic.Int32
+	var waiting sync.WaitGroup
+	for worker := range workers {
+		waiting.Go(func() {
+			for i := range requests {
+				path := fmt.Sprintf("/%d/%d", worker, i)
+				_, body, err := get(t, transport, http.MethodGet, server.url+path)
+				var headErr *Error
+				switch {
+				case errors.As(err, &headErr) && headErr.Fault == FaultUnasked:
+					unasked.Add(1)
+				case err == nil && body == path:
+					right.Add(1)
+				case err == nil:
+					wrong.Add(1)
+				}
+			}
+		})
+	}
+	waiting.Wait()
+	is.Equal(wrong.Load(), int32(0))
+	is.True(right.Load() > workers*requests/2)
+	t.Logf("%d responses were of no request", unasked.Load())
+}
+
 // A body whose trailer has a blank in the name of a field does not end as a whole one.
 func TestInvalidTrailerIsNoEndOfBody(t *testing.T) {
 	t.Parallel()
