platform, store: responses of the store with invalid heads are refused

What VMs saw: `Store-Era : 4` is no statement of an era to package http, so that the list of a store that came back from an older copy was taken for one of era 3, with its revisions. Beside that, 17 of the invalid heads of the table gave a list or changes (names with a blank, two framings, odd status lines), and 21 a value of the product's own platform.

--- a/store/client.go
+++ b/store/client.go
@@ -35,6 +35,7 @@
 	"golang.org/x/time/rate"
 
 	"monsoonferry.org/ferry"
+	"monsoonferry.org/ferry/head"
 )
 
 // Limits of the calls to the platform.
@@ -72,13 +73,13 @@
 
 // NewClient returns a client of the platform at the given addresses.
 func NewClient(addresses []netip.AddrPort) *Client {
-	return NewClientWithTransport(addresses, &http.Transport{
+	return NewClientWithTransport(addresses, head.NewTransport(&http.Transport{
 		Proxy:                  http.ProxyFromEnvironment,
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	})
+	}))
 }
 
 // NewClientWithTransport returns a client of the platform whose calls use the given
