head, relay, proxy: mutated heads, judged as by a naive reader

fake.MutateHead changes heads of the table that all readers' tests share, by a seed; fake.ReadStrictly is a naive strict reader with regular expressions. Package head is compared with it on 60,000 mutated heads, in pieces of 1 to 64 bytes, and package http has to read what is valid in the same way; FuzzHead does the same with any bytes. In relay and proxy, a caller that gets a whole success has to get what the naive reader reads from the same bytes.

--- a/head/check_test.go
+++ b/head/check_test.go
@@ -1,7 +1,11 @@
 package head
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -82,3 +86,66 @@
 		is.True(strings.Contains(headErr.Error(), c.fault.String()))
 	}
 }
+
+// compare checks that a response is judged as by a naive reader, and that package http reads
+// what is valid in the same way. It reports whether the response is valid.
+func compare(t *testing.T, response []byte, size int) bool {
+	t.Helper()
+	strict := fake.ReadStrictly(response)
+	_, err := checkAll(response, size)
+	if (strict.Status > 0) != (err == nil) {
+		t.Fatalf("%q: naive %+v, checked: %v", response, strict, err)
+	}
+	if err != nil {
+		return false
+	}
+	reader := bufio.NewReader(bytes.NewReader(response))
+	got := &http.Response{}
+	for got.StatusCode < http.StatusOK {
+		if got, err = http.ReadResponse(reader, nil); err != nil {
+			t.Fatalf("%q: package http: %v", response, err)
+		}
+	}
+	body, err := io.ReadAll(got.Body)
+	isWhole := err == nil
+	if len(got.TransferEncoding) > 0 && !isWhole {
+		// The naive reader doesn't read trailers.
+		return true
+	}
+	if got.StatusCode != strict.Status || isWhole != strict.IsWhole || isWhole && !bytes.Equal(body, strict.Body) {
+		t.Fatalf("%q: package http reads %d with %q, %v, naive %+v", response, got.StatusCode, body, err, strict)
+	}
+	return true
+}
+
+// Heads with random mutations are judged as by a naive reader, and package http reads what is
+// valid in the same way.
+func TestMutatedHeadsAreJudgedAsByNaiveReader(t *testing.T) {
+	t.Parallel()
+	const seeds, mutations = 20, 3000
+	valid := 0
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		for range mutations {
+			if compare(t, fake.MutateHead(random), 1+random.IntN(64)) {
+				valid++
+			}
+		}
+	}
+	// Neither judgement goes without cases.
+	if valid < seeds*mutations/10 || valid > seeds*mutations*9/10 {
+		t.Errorf("%d of %d heads are valid", valid, seeds*mutations)
+	}
+}
+
+// FuzzHead compares the judgements of whatever bytes.
+func FuzzHead(f *testing.F) {
+	for _, seed := range append(fake.ValidHeads(), fake.InvalidHeads()...) {
+		f.Add(seed.Encode(), 7)
+	}
+	f.Fuzz(func(t *testing.T, response []byte, size int) {
+		if len(response) < 1<<12 {
+			compare(t, response, 1+max(0, size%64))
+		}
+	})
+}
--- a/proxy/invalid_test.go
+++ b/proxy/invalid_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -134,3 +136,37 @@
 	f.forwarder.config.Metrics.set.WritePrometheus(&page)
 	is.True(strings.Contains(page.String(), `ferry_invalid_heads_total{fault="Name"} 1`+"\n"))
 }
+
+// Whatever a target changes in the head of its response, a caller that gets a whole success
+// gets what a strict reader reads from the same bytes.
+func TestMutatedHeads(t *testing.T) {
+	t.Parallel()
+	const seeds, calls = 4, 100
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 0))
+			whole := 0
+			for range calls {
+				response := fake.MutateHead(random, ferry.HeaderRequest+": request-1")
+				address, err := fake.Responder(func(*http.Request) ([]byte, bool) { return response, true }).Listen(t.Context())
+				if err != nil {
+					t.Fatal(err)
+				}
+				got, body, err := callHead(t, address, http.MethodPost, false)
+				if err != nil || got.StatusCode/100 != 2 {
+					continue
+				}
+				whole++
+				strict := fake.ReadStrictly(response)
+				if !strict.IsWhole || got.StatusCode != strict.Status || body != string(strict.Body) {
+					t.Errorf("%q: the caller got %d with %q, a strict reader %d with %q, whole %t",
+						response, got.StatusCode, body, strict.Status, strict.Body, strict.IsWhole)
+				}
+			}
+			if whole < calls/10 {
+				t.Errorf("%d whole successes", whole)
+			}
+		})
+	}
+}
--- a/relay/invalid_test.go
+++ b/relay/invalid_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -204,6 +205,41 @@
 	is.Equal(h.metrics.GetOrCreateCounter(`ferry_invalid_heads_total{fault="Name"}`).Get(), uint64(1))
 }
 
+// Whatever a target changes in the head of its response, a caller that gets a whole success
+// gets what a strict reader reads from the same bytes.
+func TestMutatedHeads(t *testing.T) {
+	t.Parallel()
+	const seeds, calls = 4, 250
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 0))
+			var response []byte
+			h := newHarness(t, startTarget(t, "a", func(conn net.Conn, _ *http.Request, _ []byte) {
+				_, _ = conn.Write(response)
+				_ = conn.Close()
+			}))
+			whole := 0
+			for i := range calls {
+				response = fake.MutateHead(random, fmt.Sprint(testID, ": ", i), testSigned+": yes")
+				got := h.call(t.Context(), http.MethodPost, "/unsafe/x", "body", testID, fmt.Sprint(i))
+				strict := fake.ReadStrictly(response)
+				isSuccess := got.err == nil && got.bodyErr == nil && got.status/100 == 2
+				if isSuccess && (!strict.IsWhole || got.status != strict.Status || got.body != string(strict.Body)) {
+					t.Errorf("%q: the caller got %d with %q, a strict reader %d with %q, whole %t",
+						response, got.status, got.body, strict.Status, strict.Body, strict.IsWhole)
+				}
+				if isSuccess {
+					whole++
+				}
+			}
+			if whole < calls/10 {
+				t.Errorf("%d whole successes", whole)
+			}
+		})
+	}
+}
+
 // A caller's request with such a field is refused before anything is sent.
 func TestInvalidHeadOfCallerIsRefused(t *testing.T) {
 	t.Parallel()
