soak: targets that send invalid heads

In a spell of truncated responses, every other answer of a target now has the next invalid head of the table, on a connection that stays open for half a second, and a signature that proves nothing: a caller that gets a whole signed response from it breaks MIXED.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,7 +8,8 @@
 // VMs for addresses and keep the answer, keep connections, send several requests at once,
 // send headers and bodies piece by piece, read slowly, and honour a response that closes
 // their connection, or don't. Their time budgets are longer than the grace period.
-// Targets are quick, or slow, hang, shed requests, fail, break off, drain and leave.
+// Targets are quick, or slow, hang, shed requests, fail, break off, send invalid heads, drain
+// and leave.
 // Meanwhile VMs get SIGTERM one after the other, at the same time, twice, and while they
 // start; SIGHUP comes between, settings files and the configuration change. A process
 // that outlives its grace period is killed. At the end all VMs stop at once.
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"monsoonferry.org/ferry/fake"
 	"monsoonferry.org/ferry/spawn"
 )
 
@@ -47,6 +48,8 @@
 	slowFactor = 8
 	// spellShare is the part of requests that a spell affects: one of so many is not.
 	spellShare = 4
+	// invalidPause is how long a target keeps a connection open after an invalid head.
+	invalidPause = 500 * time.Millisecond
 	// targetSlots is the number of requests that a target runs at a time.
 	targetSlots = 24
 )
@@ -58,6 +61,8 @@
 	server               *http.Server
 	spell                atomic.Int32
 	requests, running    atomic.Int64
+	// answers counts the requests that were worked on.
+	answers atomic.Int64
 	// isLeaving reports that it drains, isGone that it breaks off what is left.
 	isLeaving, isGone atomic.Bool
 	sequence          atomic.Int64
@@ -200,6 +205,11 @@
 	if size%2 == 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(size))
 	}
+	if answers := s.answers.Add(1); state == spellTruncate && answers%2 == 0 {
+		s.journal.end(id, begun, 0, true, "answers with an invalid head")
+		s.answerInvalidly(w, id, int(answers/2))
+		return
+	}
 	if state == spellTruncate && status == http.StatusOK && size > 1 {
 		s.journal.end(id, begun, 0, true, "truncates its response")
 		w.WriteHeader(status)
@@ -213,6 +223,24 @@
 	}
 }
 
+// answerInvalidly answers with an invalid head, the next of the table. Its signature proves no
+// response, so that none that a caller gets is taken for a whole one.
+func (s *target) answerInvalidly(w http.ResponseWriter, id string, number int) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.journal.note(id, "%s could not write its response: %v", s.id, err)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	heads := fake.InvalidHeads()
+	head := heads[number%len(heads)]
+	s.journal.note(id, "%s: %s", s.id, head.Name)
+	_, _ = conn.Write(head.Encode("Request-Id: "+id, "Response-Signature: none"))
+	// The other end closes the connection, or gets no end of the response for a while.
+	_ = conn.SetReadDeadline(time.Now().Add(invalidPause))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // pool is the targets of the fleet.
 type pool struct {
 	mu      sync.Mutex
