head: each request has its own expectation of a response

What a reader behind head.Transport saw: a proper response without a body refused as Unasked, and its connection closed under another request.

Cause: http.Transport gives the connection of such a response to the next request before it returns the response, and the next request reset what the connection had seen.

Change: what was seen is kept for each request.

--- a/head/transport.go
+++ b/head/transport.go
@@ -34,21 +34,20 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var used atomic.Pointer[Conn]
+	var last atomic.Pointer[expectation]
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if connection, ok := info.Conn.(*Conn); ok {
-				connection.beginResponse()
-				used.Store(connection)
+				last.Store(connection.expect())
 			}
 		},
 	})
 	response, err := t.base.RoundTrip(request.WithContext(ctx))
-	connection := used.Load()
-	if connection == nil {
+	expected := last.Load()
+	if expected == nil {
 		return response, err
 	}
-	status, invalid := connection.checked()
+	status, invalid := expected.result()
 	switch {
 	case invalid != nil:
 		err = invalid
@@ -62,7 +61,7 @@
 		return response, nil
 	}
 	if response != nil {
-		_ = connection.Close()
+		_ = expected.connection.Close()
 		_ = response.Body.Close()
 	}
 	return nil, err
@@ -71,44 +70,60 @@
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
+// expectation is a response that a request waits for. It outlasts the use of its connection
+// by the request: http.Transport gives the connection of a response without a body to the
+// next request before it returns that response.
+type expectation struct {
+	connection *Conn
+	// status is the status of the response, or zero before its head was checked, and invalid
+	// the error of its head, or nil. Both are guarded by connection.mu.
+	status  int
+	invalid error
+}
+
+// result returns the status of the response, or zero if its head was not read, and the error
+// of an invalid head.
+func (e *expectation) result() (status int, invalid error) {
+	e.connection.mu.Lock()
+	defer e.connection.mu.Unlock()
+	return e.status, e.invalid
+}
+
 // Conn is a connection of a Transport. It checks the heads of the responses that are read.
 type Conn struct {
 	net.Conn
 
 	mu      sync.Mutex
 	checker Checker
-	// isExpected reports that the head of a response is due, or of one after an interim
-	// response.
-	isExpected bool
-	// status is the status of the last response that was checked.
-	status int
-	// invalid is the error of an invalid head, or nil.
+	// expected is the response whose head is due, or the one after an interim response, or nil.
+	expected *expectation
+	// invalid is the error of an invalid head, or nil. No byte is read after it.
 	invalid error
 }
 
 // NetConn returns the connection that the Transport has opened.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// beginResponse expects the response to the next request.
-func (c *Conn) beginResponse() {
+// expect expects the response to the next request.
+func (c *Conn) expect() *expectation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checker.Begin()
-	c.isExpected, c.status = true, 0
+	c.expected = &expectation{connection: c}
+	return c.expected
 }
 
-// checked returns the status of the response to the last request, or zero if its head was
-// not read, and the error of an invalid head.
-func (c *Conn) checked() (status int, invalid error) {
+// invalidHead returns the error of an invalid head, or nil.
+func (c *Conn) invalidHead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.status, c.invalid
+	return c.invalid
 }
 
 // Read implements net.Conn. It fails before the end of an invalid head was read.
 func (c *Conn) Read(p []byte) (int, error) {
-	if _, invalid := c.checked(); invalid != nil {
-		return 0, invalid
+	if err := c.invalidHead(); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -123,18 +138,19 @@
 
 // check checks the heads that begin in p. It returns how many bytes are valid.
 func (c *Conn) check(p []byte) (n int, err error) {
-	for c.isExpected && n < len(p) {
-		var valid int
-		valid, c.invalid = c.checker.Check(p[n:])
+	for c.expected != nil && n < len(p) {
+		valid, invalid := c.checker.Check(p[n:])
 		n += valid
 		switch {
-		case c.invalid != nil:
-			return n, c.invalid
+		case invalid != nil:
+			c.invalid, c.expected.invalid = invalid, invalid
+			return n, invalid
 		case !c.checker.IsDone():
 		case c.checker.Status() < http.StatusOK:
 			c.checker.Begin()
 		default:
-			c.isExpected, c.status = false, c.checker.Status()
+			c.expected.status = c.checker.Status()
+			c.expected = nil
 		}
 	}
 	return len(p), nil
--- a/head/transport_test.go
+++ b/head/transport_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -186,23 +187,34 @@
 	}
 }
 
-// Requests over a Transport, many at a time, each get their own response.
+// Requests over a Transport, many at a time over few connections, each get their own response.
+// The connection of a response without a body carries another request before its own returns.
 func TestTransportServesManyRequests(t *testing.T) {
 	t.Parallel()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.WriteHeader(http.StatusEarlyHints)
+		if strings.HasSuffix(r.URL.Path, "/empty") {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
 		_, _ = io.WriteString(w, r.URL.Path)
 	}))
 	t.Cleanup(server.Close)
-	transport := NewTransport(&http.Transport{MaxIdleConnsPerHost: 4})
+	transport := NewTransport(&http.Transport{MaxConnsPerHost: 2})
 	t.Cleanup(transport.CloseIdleConnections)
-	for worker := range 8 {
+	const workers, requests = 16, 500
+	for worker := range workers {
 		t.Run(fmt.Sprint(worker), func(t *testing.T) {
 			t.Parallel()
-			for i := range 100 {
+			for i := range requests {
 				path := fmt.Sprintf("/%d/%d", worker, i)
+				wantedStatus, wantedBody := http.StatusOK, path
+				if i%2 == 0 {
+					path += "/empty"
+					wantedStatus, wantedBody = http.StatusNoContent, ""
+				}
 				status, body, err := get(t, transport, http.MethodGet, server.URL+path)
-				if err != nil || status != http.StatusOK || body != path {
+				if err != nil || status != wantedStatus || body != wantedBody {
 					t.Fatalf("%s: %d with %q, %v", path, status, body, err)
 				}
 			}
