--- a/review/_lab3/lab.go
+++ b/review/_lab3/lab.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -37,6 +38,8 @@
 	backends     []*backend
 	vms          []*vm
 
+	// main is the lab whose record this one shares, or nil.
+	main   *lab
 	mu     sync.Mutex
 	record *bufio.Writer
 	file   *os.File
@@ -49,22 +52,37 @@
 		return nil, err
 	}
 	l.record = bufio.NewWriter(l.file)
+	return l, l.open()
+}
+
+// another returns another deployment, with a store of its own, that shares the record.
+func (l *lab) another() (*lab, error) {
+	other := &lab{started: l.started, store: fake.NewStore(), main: l}
+	return other, other.open()
+}
+
+// open creates the folder and starts the store.
+func (l *lab) open() (err error) {
 	if l.folder, err = os.MkdirTemp("", "lab3"); err != nil {
-		return nil, err
+		return err
 	}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	l.storeAddress = listener.Addr().String()
 	go func() { _ = http.Serve(listener, l.store) }()
-	return l, nil
+	return nil
 }
 
 func (l *lab) now() time.Duration { return time.Since(l.started) }
 
 // note writes a line to the record.
 func (l *lab) note(format string, arguments ...any) {
+	if l.main != nil {
+		l.main.note(format, arguments...)
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	fmt.Fprintf(l.record, "%9.4f "+format+"\n", append([]any{l.now().Seconds()}, arguments...)...)
@@ -72,6 +90,10 @@
 
 // say writes a line to the record and the standard output.
 func (l *lab) say(format string, arguments ...any) {
+	if l.main != nil {
+		l.main.say(format, arguments...)
+		return
+	}
 	l.note(format, arguments...)
 	fmt.Printf("%9.4f "+format+"\n", append([]any{l.now().Seconds()}, arguments...)...)
 }
@@ -85,11 +107,14 @@
 			<-v.exited
 		}
 	}
+	_ = os.RemoveAll(l.folder)
+	if l.main != nil {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_ = l.record.Flush()
 	_ = l.file.Close()
-	_ = os.RemoveAll(l.folder)
 }
 
 // backend runs requests at once in many slots and rejects those for another instance.
@@ -151,9 +176,11 @@
 // vm is a machine with one process of the role ferry.
 type vm struct {
 	host, zone string
-	process    *exec.Cmd
-	exited     chan struct{}
-	folder     string
+	// store is the address at which it reaches the store, if it isn't the store's own.
+	store   string
+	process *exec.Cmd
+	exited  chan struct{}
+	folder  string
 }
 
 func (v *vm) address(port int) string { return fmt.Sprintf("%s:%d", v.host, port) }
@@ -181,7 +208,7 @@
 	}
 	settings, err := json.Marshal(map[string]any{
 		"ID": "edge-" + v.host, "Place": v.zone, "Places": zones, "Address": v.host, "PeerPorts": []int{7660, 7675}, "Seeds": seeds,
-		"Store": l.storeAddress, "Listen": map[string]string{
+		"Store": cmp.Or(v.store, l.storeAddress), "Listen": map[string]string{
 			"Callers": v.address(frontPort), "Ready": v.address(readinessPort), "Control": v.address(controlPort), "Directory": v.address(directoryPort),
 		},
 		"MemoryMegabytes": 284, "MaxDescriptors": 4100, "ProcessorShare": 0.32, "ProcessorSpeed": 1, "First": isFirst,
