--- a/review/_lab3/lab.go
+++ b/review/_lab3/lab.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -126,6 +127,10 @@
 	address string
 	slots   int
 	work    time.Duration
+	// from is when it starts.
+	from time.Duration
+	// isLeaving reports that it has told the store that it leaves.
+	isLeaving atomic.Bool
 	// onRun is called when the backend begins to work on a request.
 	onRun func(b *backend, request *http.Request)
 }
@@ -144,6 +149,16 @@
 
 // ServeHTTP implements http.Handler by PROTOCOL.md, section Backends.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.isLeaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/health" {
+		w.Header().Set("Instance-Id", b.id)
+		if b.isLeaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != b.id {
@@ -164,10 +179,17 @@
 // putBackends writes the entries of all backends.
 func (l *lab) putBackends(sequence int) {
 	for _, b := range l.backends {
+		if l.now() < b.from {
+			continue
+		}
+		state := "ready"
+		if b.isLeaving.Load() {
+			state = "draining"
+		}
 		entry, _ := json.Marshal(map[string]any{
 			"address": b.address, "born": l.started.UnixMilli(),
 			"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "capacity": b.slots},
-			"status": map[string]any{"state": "ready", "sequence": sequence, "coldRemainingMs": 0},
+			"status": map[string]any{"state": state, "sequence": sequence, "coldRemainingMs": 0},
 		})
 		l.store.Put("servers/"+b.id, string(entry))
 	}
--- a/review/_lab3/late.go
+++ b/review/_lab3/late.go
@@ -15,6 +15,9 @@
 	fleets  = 8
 	batches = 2
 	applyMS = 2000
+	drainMS = 2000
+	// leaving is the number of backends that are replaced, of three of their service.
+	leaving = 2
 	// changeAt is when the first change is made, cutAt when the disruption and the second come.
 	changeAt = cutAt - 900*time.Millisecond
 	cutAt    = 12 * time.Second
@@ -37,17 +40,21 @@
 	// sent holds when each request was sent, ranOld those that ran at the old service.
 	sent   map[string]time.Duration
 	ranOld map[string]bool
+	// isDrain reports that backends leave instead of a route that moves, and arrived
+	// holds when requests reached them after that.
+	isDrain bool
+	arrived []time.Duration
 }
 
 const (
 	lateConfig = `{"version":"r%d","routes":[{"name":"readings","host":"ficu95.example","prefix":"/lohu930/","kind":"safe","service":"%s","timeoutMs":2000,"targetLatencyMs":300,"maxAttempts":2,"priority":1}%s],` +
-		`"services":[{"name":"savjet","maxConnections":330},{"name":"sonda","maxConnections":330}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":5000,"idleTimeoutMs":10000},` +
+		`"services":[{"name":"savjet","healthPath":"/health","maxConnections":330},{"name":"sonda","healthPath":"/health","maxConnections":330}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":5000,"idleTimeoutMs":10000},` +
 		`"tenants":[{"name":"huka270","apiKeys":["2b9wu3fexd9dnn2ctnfz"],"ratePerS":0,"burst":0}]}`
 	lateAdded = `,{"name":"orders","host":"ficu95.example","prefix":"/te8bk2c2/","kind":"unsafe","service":"savjet","timeoutMs":2500,"targetLatencyMs":800,"maxAttempts":2,"priority":1}`
 )
 
-func newLateFleet(l *lab, number int) (f *lateFleet, err error) {
-	f = &lateFleet{name: fmt.Sprintf("fleet %d", number), sent: map[string]time.Duration{}, ranOld: map[string]bool{}, zones: map[string]string{"osijek-a": "slavonija", "split-a": "dalmacija"}}
+func newLateFleet(l *lab, number int, isDrain bool) (f *lateFleet, err error) {
+	f = &lateFleet{name: fmt.Sprintf("fleet %d", number), isDrain: isDrain, sent: map[string]time.Duration{}, ranOld: map[string]bool{}, zones: map[string]string{"osijek-a": "slavonija", "split-a": "dalmacija"}}
 	if f.lab, err = l.another(); err != nil {
 		return nil, err
 	}
@@ -59,12 +66,24 @@
 		if b.service == "savjet" {
 			f.ranOld[id] = true
 		}
+		if b.isLeaving.Load() {
+			f.arrived = append(f.arrived, f.now())
+		}
 	}
 	for i, service := range []string{"savjet", "savjet", "savjet", "sonda", "sonda", "sonda"} {
 		if err = f.addBackend(&backend{id: fmt.Sprintf("i-7f3a91c%d", i), service: service, zone: "split-a", slots: 4, work: 5 * time.Millisecond, onRun: onRun}); err != nil {
 			return f, err
 		}
 	}
+	for i := range leaving {
+		if !isDrain {
+			break
+		}
+		// It replaces one that leaves.
+		if err = f.addBackend(&backend{id: fmt.Sprintf("i-48aa677%d", i), service: "savjet", zone: "split-a", slots: 4, work: 5 * time.Millisecond, onRun: onRun, from: changeAt - 2*time.Second}); err != nil {
+			return f, err
+		}
+	}
 	f.store.Put("op/config", fmt.Sprintf(lateConfig, 4, "savjet", ""))
 	f.putBackends(1)
 	if f.path, err = newProxy(f.storeAddress); err != nil {
@@ -150,9 +169,16 @@
 		f.path.cut()
 		f.note("%s: %s is cut off from the store", f.name, f.leader.host)
 	}
-	f.store.Put("op/config", fmt.Sprintf(lateConfig, 6, "sonda", lateAdded))
+	if f.isDrain {
+		for _, b := range f.backends[:leaving] {
+			b.isLeaving.Store(true)
+		}
+		f.putBackends(1000)
+	} else {
+		f.store.Put("op/config", fmt.Sprintf(lateConfig, 6, "sonda", lateAdded))
+	}
 	acked := f.now()
-	f.note("%s: r6 acked", f.name)
+	f.note("%s: the change is acked", f.name)
 	if isKilled {
 		at(cutAt + darkFor)
 		for _, v := range f.others {
@@ -170,6 +196,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var late time.Duration
+	if f.isDrain {
+		for _, at := range f.arrived {
+			late = max(late, at-acked)
+			if at-acked > drainMS*time.Millisecond {
+				count++
+			}
+		}
+		f.say("%s: the last request reached a leaving backend %.3f s after the ack, %d later than %d ms", f.name, late.Seconds(), count, drainMS)
+		return count, nil
+	}
 	for id := range f.ranOld {
 		if sent, found := f.sent[id]; found {
 			late = max(late, sent-acked)
@@ -185,26 +221,37 @@
 // playLateFollower: the leader of a zone loses the store and all machines of other zones
 // at once. Its follower, which is in touch, gets a change of the configuration late.
 func playLateFollower(l *lab) (isBroken bool, err error) {
-	total := 0
+	total, err := playLateBatches(l, false)
+	l.say("CONFIG: %d requests sent later than %d ms after the ack ran by the older version", total, applyMS)
+	return total > 0, err
+}
+
+// playLateDrain is the same with backends that leave.
+func playLateDrain(l *lab) (isBroken bool, err error) {
+	total, err := playLateBatches(l, true)
+	l.say("DRAIN: %d requests reached leaving backends later than %d ms after the ack", total, drainMS)
+	return total > 0, err
+}
+
+func playLateBatches(l *lab, isDrain bool) (total int, err error) {
 	for batch := range batches {
-		count, err := playLateFleets(l, batch*fleets)
+		count, err := playLateFleets(l, batch*fleets, isDrain)
 		if err != nil {
-			return false, err
+			return total, err
 		}
 		total += count
 	}
-	l.say("CONFIG: %d requests sent later than %d ms after the ack ran by the older version", total, applyMS)
-	return total > 0, nil
+	return total, nil
 }
 
 // playLateFleets plays a batch of deployments and returns how many requests broke the rule.
-func playLateFleets(l *lab, first int) (total int, err error) {
+func playLateFleets(l *lab, first int, isDrain bool) (total int, err error) {
 	var group sync.WaitGroup
 	var broken atomic.Int64
 	failures := make(chan error, fleets)
 	began := l.now()
 	for i := range fleets {
-		f, err := newLateFleet(l, first+i)
+		f, err := newLateFleet(l, first+i, isDrain)
 		if f != nil {
 			defer f.close()
 		}
--- a/review/_lab3/main.go
+++ b/review/_lab3/main.go
@@ -13,6 +13,7 @@
 	play, found := map[string]func(l *lab) (isBroken bool, err error){
 		"burst-after-freeze": playBurstAfterFreeze,
 		"late-follower":      playLateFollower,
+		"late-drain":         playLateDrain,
 	}[os.Args[1]]
 	if !found {
 		fmt.Fprintln(os.Stderr, "no such case")
