--- a/review/_lab3/late.go
+++ b/review/_lab3/late.go
@@ -11,11 +11,12 @@
 )
 
 const (
-	// fleets play at the same time, in each of batches.
-	fleets  = 8
-	batches = 2
-	applyMS = 2000
-	drainMS = 2000
+	// fleets play at the same time, in each batch.
+	fleets       = 8
+	batches      = 2
+	drainBatches = 4
+	applyMS      = 2000
+	drainMS      = 2000
 	// leaving is the number of backends that are replaced, of three of their service.
 	leaving = 2
 	// changeAt is when the first change is made, cutAt when the disruption and the second come.
@@ -221,25 +222,25 @@
 // playLateFollower: the leader of a zone loses the store and all machines of other zones
 // at once. Its follower, which is in touch, gets a change of the configuration late.
 func playLateFollower(l *lab) (isBroken bool, err error) {
-	total, err := playLateBatches(l, false)
+	total, err := playLateBatches(l, batches, false)
 	l.say("CONFIG: %d requests sent later than %d ms after the ack ran by the older version", total, applyMS)
 	return total > 0, err
 }
 
 // playLateDrain is the same with backends that leave.
 func playLateDrain(l *lab) (isBroken bool, err error) {
-	total, err := playLateBatches(l, true)
+	total, err := playLateBatches(l, drainBatches, true)
 	l.say("DRAIN: %d requests reached leaving backends later than %d ms after the ack", total, drainMS)
 	return total > 0, err
 }
 
-func playLateBatches(l *lab, isDrain bool) (total int, err error) {
-	for batch := range batches {
-		count, err := playLateFleets(l, batch*fleets, isDrain)
+func playLateBatches(l *lab, count int, isDrain bool) (total int, err error) {
+	for batch := range count {
+		broken, err := playLateFleets(l, batch*fleets, isDrain)
 		if err != nil {
 			return total, err
 		}
-		total += count
+		total += broken
 	}
 	return total, nil
 }
