--- a/review/_lab3/late.go
+++ b/review/_lab3/late.go
@@ -17,7 +17,7 @@
 	drainBatches = 4
 	applyMS      = 2000
 	drainMS      = 2000
-	// leaving is the number of backends that are replaced, of three of their service.
+	// leaving is the number of backends that are replaced, of five of their service.
 	leaving = 2
 	// changeAt is when the first change is made, cutAt when the disruption and the second come.
 	changeAt = cutAt - 900*time.Millisecond
@@ -76,12 +76,16 @@
 			return f, err
 		}
 	}
-	for i := range leaving {
+	for i := range 2 * leaving {
 		if !isDrain {
 			break
 		}
-		// It replaces one that leaves.
-		if err = f.addBackend(&backend{id: fmt.Sprintf("i-48aa677%d", i), service: "savjet", zone: "split-a", slots: 4, work: 5 * time.Millisecond, onRun: onRun, from: changeAt - 2*time.Second}); err != nil {
+		b := &backend{id: fmt.Sprintf("i-48aa677%d", i), service: "savjet", zone: "split-a", slots: 4, work: 5 * time.Millisecond, onRun: onRun}
+		if i >= leaving {
+			// It replaces one that leaves.
+			b.from = changeAt - 2*time.Second
+		}
+		if err = f.addBackend(b); err != nil {
 			return f, err
 		}
 	}
@@ -134,7 +138,11 @@
 	at := func(moment time.Duration) { time.Sleep(moment - f.now()) }
 	at(8 * time.Second)
 	var number atomic.Int64
-	for range 8 {
+	callers := 8
+	if f.isDrain {
+		callers = 16
+	}
+	for range callers {
 		var c caller
 		every(100*time.Millisecond, func(int) {
 			id := fmt.Sprintf("9c41d07b%08x", number.Add(1))
@@ -145,7 +153,7 @@
 			status := c.send(f.follower.address(frontPort), id, "2b9wu3fexd9dnn2ctnfz", http.MethodGet, "/lohu930/2f", 2*time.Second)
 			f.note("%s: %s answered %d", f.name, id, status)
 		})
-		time.Sleep(12 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond / time.Duration(callers))
 	}
 	at(changeAt)
 	f.store.Put("op/config", fmt.Sprintf(lateConfig, 5, "savjet", lateAdded))
